Add design, wire formats, core interfaces and build

Cause: the project starts; modules need agreed interfaces before they can be built side by side. Ruled out: hand-written codecs (FlatBuffers structs at fixed offsets let an entry forward without decoding); verifying a frame without its size prefix, which fails because FlatBuffers aligns the content together with the prefix.

--- /dev/null
+++ b/include/daisydoor/wire/datagram.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "daisydoor/core/endpoint.hpp"
+#include "daisydoor/wire/generated/data_generated.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// @brief Layout, encoding and checked decoding of datagrams: [envelope][packet_header][packet].
+namespace daisydoor::wire
+{
+
+using buffer = std::vector<std::uint8_t>;
+
+constexpr std::uint32_t packet_magic = 0x44647231;
+/// Header and packet together stay below the MTU of common tunnels.
+constexpr std::size_t max_packet_size = 1200;
+constexpr std::size_t max_datagram_size = sizeof(envelope) + max_packet_size;
+/// Payload of one answer segment or event; leaves room for the header and the FlatBuffers tables.
+constexpr std::size_t max_segment_payload = 1000;
+
+/// @brief Read-only view of a byte range; does not own it.
+struct bytes_view
+{
+    const std::uint8_t* data = nullptr;
+    std::size_t size = 0;
+};
+
+wire_endpoint to_wire(const core::endpoint& value) noexcept;
+core::endpoint from_wire(const wire_endpoint& value) noexcept;
+
+/// @brief Datagram taken apart; `body` is decoded and verified.
+struct decoded_packet
+{
+    packet_header header;
+    packetT packet;
+};
+
+/// @brief Returns the envelope at the start of a datagram, or nullptr if it is too short to hold envelope and header.
+const envelope* envelope_of(bytes_view datagram) noexcept;
+
+/// @brief Returns the header behind the envelope, or nullptr if the datagram is too short or the magic is wrong.
+const packet_header* header_of(bytes_view datagram) noexcept;
+
+/// @brief Decodes header and packet (without envelope). Returns nullopt for any malformed input.
+/// Complexity: linear in the size.
+std::optional<decoded_packet> decode_packet(bytes_view header_and_packet);
+
+/// @brief Encodes header and packet, without envelope.
+buffer encode_packet(const packet_header& header, const packetT& packet);
+
+/// @brief Encodes a whole datagram with its envelope.
+buffer encode_datagram(const envelope& env, const packet_header& header, const packetT& packet);
+
+/// @brief Wraps a typed body in a packet.
+template <typename Body>
+packetT make_packet(Body body)
+{
+    packetT result;
+    result.body.Set(std::move(body));
+    return result;
+}
+
+} // namespace daisydoor::wire
--- /dev/null
+++ b/scripts/generate_wire.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Regenerates the committed FlatBuffers headers; with --check it fails if they differ from the schemas.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=include/daisydoor/wire/generated
+if [ "${1:-}" = "--check" ]; then
+  out=$(mktemp -d)
+  trap 'rm -rf "$out"' EXIT
+fi
+flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --gen-mutable -o "$out" schemas/data.fbs schemas/peer.fbs
+if [ "${1:-}" = "--check" ]; then
+  diff -r "$out" include/daisydoor/wire/generated
+fi
--- /dev/null
+++ b/src/wire/token.cpp
@@ -0,0 +1,121 @@
+#include "daisydoor/wire/token.hpp"
+
+#include "daisydoor/wire/error.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <openssl/core_names.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/params.h>
+
+namespace daisydoor::wire
+{
+
+namespace
+{
+
+/// The MAC covers all fields in front of it.
+constexpr std::size_t mac_input_size = sizeof(flow_token) - sizeof(std::uint64_t);
+static_assert(mac_input_size == 32);
+constexpr std::size_t cmac_size = 16;
+
+struct mac_deleter
+{
+    void operator()(EVP_MAC* mac) const noexcept { EVP_MAC_free(mac); }
+    void operator()(EVP_MAC_CTX* context) const noexcept { EVP_MAC_CTX_free(context); }
+};
+
+using mac_context = std::unique_ptr<EVP_MAC_CTX, mac_deleter>;
+
+struct prepared_key
+{
+    token_key key;
+    mac_context context;
+};
+
+mac_context prepare(const token_secret& secret)
+{
+    const std::unique_ptr<EVP_MAC, mac_deleter> mac(EVP_MAC_fetch(nullptr, "CMAC", nullptr));
+    mac_context context(mac ? EVP_MAC_CTX_new(mac.get()) : nullptr);
+    std::array<char, 12> cipher{"AES-128-CBC"};
+    const std::array<OSSL_PARAM, 2> params{OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_CIPHER, cipher.data(), 0),
+                                           OSSL_PARAM_construct_end()};
+    if (!context || EVP_MAC_init(context.get(), secret.data(), secret.size(), params.data()) != 1) {
+        throw wire_error(errc::mac_failed, "OpenSSL offers no AES-128 CMAC");
+    }
+    return context;
+}
+
+/// Computes the truncated MAC of a token; returns false if OpenSSL fails.
+bool compute_mac(EVP_MAC_CTX* context, const flow_token& token, std::uint64_t& mac) noexcept
+{
+    std::array<unsigned char, cmac_size> full{};
+    std::size_t n = 0;
+    // A null key restarts the context with the key schedule that it holds.
+    if (EVP_MAC_init(context, nullptr, 0, nullptr) != 1 ||
+        EVP_MAC_update(context, reinterpret_cast<const unsigned char*>(&token), mac_input_size) != 1 ||
+        EVP_MAC_final(context, full.data(), &n, full.size()) != 1) {
+        return false;
+    }
+    std::memcpy(&mac, full.data(), sizeof mac);
+    return true;
+}
+
+} // namespace
+
+struct token_sealer::impl
+{
+    std::vector<prepared_key> keys;
+    std::size_t signing = 0;
+};
+
+token_sealer::token_sealer(const std::vector<token_key>& keys) : m_impl(std::make_unique<impl>())
+{
+    const auto signs = [](const token_key& key) { return key.signing; };
+    if (std::count_if(keys.begin(), keys.end(), signs) != 1) {
+        throw wire_error(errc::no_signing_key, "exactly one token key must sign");
+    }
+    m_impl->signing = static_cast<std::size_t>(std::find_if(keys.begin(), keys.end(), signs) - keys.begin());
+    for (const auto& key : keys) {
+        m_impl->keys.push_back({key, prepare(key.secret)});
+    }
+}
+
+token_sealer::~token_sealer() = default;
+token_sealer::token_sealer(token_sealer&&) noexcept = default;
+token_sealer& token_sealer::operator=(token_sealer&&) noexcept = default;
+
+flow_token token_sealer::seal(const token_fields& fields)
+{
+    const auto& key = m_impl->keys[m_impl->signing];
+    flow_token token(core::raw(fields.service), core::raw(fields.host), core::raw(fields.incarnation),
+                     core::raw(fields.flow), core::raw(key.key.id), fields.issued_s, 0);
+    std::uint64_t mac = 0;
+    if (!compute_mac(key.context.get(), token, mac)) {
+        throw wire_error(errc::mac_failed, "OpenSSL failed to compute a CMAC");
+    }
+    token.mutate_mac(mac);
+    return token;
+}
+
+token_status token_sealer::verify(const flow_token& token) noexcept
+{
+    const auto it = std::find_if(m_impl->keys.begin(), m_impl->keys.end(), [&token](const prepared_key& candidate) {
+        return core::raw(candidate.key.id) == token.key();
+    });
+    if (it == m_impl->keys.end()) {
+        return token_status::unknown_key;
+    }
+    std::uint64_t mac = 0;
+    const std::uint64_t received = token.mac();
+    if (!compute_mac(it->context.get(), token, mac) || CRYPTO_memcmp(&mac, &received, sizeof mac) != 0) {
+        return token_status::bad_mac;
+    }
+    return token_status::valid;
+}
+
+core::key_id token_sealer::signing_key() const noexcept { return m_impl->keys[m_impl->signing].key.id; }
+
+} // namespace daisydoor::wire
