--- /dev/null
+++ b/apps/daisydoor/main.cpp
@@ -0,0 +1,53 @@
+#include "daisydoor/runtime/daemon.hpp"
+
+#include <CLI/CLI.hpp>
+#include <glog/logging.h>
+#include <iostream>
+
+namespace
+{
+
+using daisydoor::runtime::exit_code;
+
+int run(const std::string& file, bool check_only)
+{
+    using namespace daisydoor::runtime;
+    try {
+        const auto values = load_settings(file);
+        if (check_only) {
+            std::cout << file << ": settings are valid\n";
+            return static_cast<int>(exit_code::ok);
+        }
+        // No log files: daisydoor uses no disk (R12).
+        FLAGS_logtostderr = true;
+        FLAGS_minloglevel = static_cast<int>(values.log_level);
+        return run_daemon(values);
+    } catch (const settings_error& e) {
+        for (const auto& line : e.lines()) {
+            std::cerr << line << '\n';
+        }
+        return static_cast<int>(exit_code::bad_settings);
+    } catch (const std::exception& e) {
+        std::cerr << "daisydoor: " << e.what() << '\n';
+        return static_cast<int>(exit_code::runtime_failure);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    CLI::App app("Layer-4 load balancer daemon: an entry or an agent, as its settings say.", "daisydoor");
+    std::string file;
+    bool check_only = false;
+    app.add_option("--config", file, "Settings file (docs/settings.md)")->required();
+    app.add_flag("--check", check_only, "Check the settings, report every error and exit");
+    app.set_version_flag("--version", "daisydoor " DAISYDOOR_VERSION);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? static_cast<int>(exit_code::ok) : static_cast<int>(exit_code::usage);
+    }
+    return run(file, check_only);
+}
--- /dev/null
+++ b/include/daisydoor/runtime/detail/agent_task.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "daisydoor/agent/agent_core.hpp"
+#include "daisydoor/runtime/detail/io_event.hpp"
+#include "daisydoor/runtime/events.hpp"
+#include "daisydoor/runtime/messages.hpp"
+
+#include <map>
+
+namespace daisydoor::runtime::detail
+{
+
+/// @brief Drives agent_core between UDP, the mesh links, the target and the configuration.
+class agent_task : public task
+{
+  public:
+    /// @param return_path the fabric's endpoint for datagrams to callers
+    agent_task(kernel& owner, const agent::agent_options& options, const core::endpoint& return_path,
+               core::random_source random);
+
+    void start() override;
+
+  private:
+    using core_handler = std::function<void(core::time_point, agent::action_list&)>;
+
+    void provide_peer_handlers();
+    void provide_target_handlers();
+    void provide_configuration_handlers();
+    void on_datagram(const received_datagram& message);
+    void compare_versions(core::time_point now, const received_datagram& message);
+    void send_notice(core::time_point now, const core::endpoint& peer);
+    void set_mesh();
+    void on_tick();
+    void watch_drain();
+    void collect(collect_values& message) const;
+    void collect_state_of(collect_state& message) const;
+
+    /// @brief Runs an event method of the core and carries out its actions.
+    /// @param flush whether to send datagrams at once; the UDP task does so itself after a received batch
+    void handle(const core_handler& event, bool flush = true);
+    void perform(agent::send_datagram& action);
+    void perform(agent::send_peer& action);
+    void perform(agent::start_exchange& action);
+    void perform(agent::cancel_exchange& action);
+    void perform(agent::open_feed& action);
+    void perform(agent::close_feed& action);
+    void perform(agent::drain_finished& action);
+    void perform(agent::refresh_configuration& action);
+
+    kernel& m_kernel;
+    agent::agent_options m_options;
+    agent::agent_core m_core;
+    core::endpoint m_return_path;
+    io_event m_timer;
+    io_event m_drain_timer;
+    core::time_point m_last_tick;
+    bool m_draining = false;
+    config::snapshot_ptr m_snapshot;
+    config::fleet_view_ptr m_fleet;
+    std::map<core::endpoint, core::time_point> m_notices;
+    rate_limit m_drop_log{1'000'000'000};
+    std::uint64_t m_logged_drops = 0;
+    port<outgoing_datagram> m_udp;
+    port<flush_datagrams> m_flush;
+    port<set_mesh_peers> m_mesh;
+    port<send_to_host> m_links;
+    port<send_to_endpoint> m_notice;
+    port<agent::start_exchange> m_start_exchange;
+    port<agent::cancel_exchange> m_cancel_exchange;
+    port<agent::open_feed> m_open_feed;
+    port<agent::close_feed> m_close_feed;
+    port<version_seen> m_version_seen;
+    port<refresh_request> m_refresh;
+};
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/include/daisydoor/runtime/detail/entry_task.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "daisydoor/entry/entry_core.hpp"
+#include "daisydoor/runtime/detail/io_event.hpp"
+#include "daisydoor/runtime/events.hpp"
+#include "daisydoor/runtime/messages.hpp"
+
+namespace daisydoor::runtime::detail
+{
+
+/// @brief Drives entry_core between the UDP task and the configuration.
+class entry_task : public task
+{
+  public:
+    /// @param return_path the fabric's endpoint for refusals
+    entry_task(kernel& owner, entry::entry_options options, const core::endpoint& return_path);
+
+    void start() override;
+
+  private:
+    void on_datagram(const received_datagram& message);
+    void log_drop(core::time_point now, entry::drop_reason reason);
+    void on_tick();
+    void collect(collect_values& message) const;
+
+    kernel& m_kernel;
+    entry::entry_core m_core;
+    core::endpoint m_return_path;
+    io_event m_timer;
+    core::time_point m_last_tick;
+    rate_limit m_drop_log{1'000'000'000};
+    config::snapshot_ptr m_snapshot;
+    config::fleet_view_ptr m_fleet;
+    port<outgoing_datagram> m_udp;
+    port<refresh_request> m_refresh;
+};
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/include/daisydoor/runtime/detail/target_task.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "daisydoor/runtime/detail/event_stream.hpp"
+#include "daisydoor/runtime/detail/http_client.hpp"
+#include "daisydoor/runtime/messages.hpp"
+
+namespace daisydoor::runtime::detail
+{
+
+struct target_counters
+{
+    std::uint64_t exchanges = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t connect_failed = 0;
+    std::uint64_t broken = 0;
+    std::uint64_t timed_out = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t bad_paths = 0;
+    std::uint64_t feeds_opened = 0;
+    std::uint64_t feeds_closed = 0;
+};
+
+/// @brief Client of the target: exchanges, feeds and the health poll.
+///
+/// Handles start_exchange, cancel_exchange, open_feed and close_feed of the agent core.
+class target_task : public task
+{
+  public:
+    target_task(kernel& owner, const core::endpoint& target);
+
+    void start() override;
+
+  private:
+    struct feed
+    {
+        std::uint64_t exchange = 0;
+        event_stream_parser parser;
+    };
+
+    void collect(collect_values& message) const;
+    void start_exchange(agent::start_exchange& message);
+    void cancel_exchange(agent::exchange_id id);
+    void on_answer(agent::exchange_id id, http_answer answer);
+    void open_feed(const agent::open_feed& message);
+    void close_feed(agent::feed_connection_id id);
+    void on_feed_part(agent::feed_connection_id id, wire::bytes_view part);
+    void on_feed_end(agent::feed_connection_id id);
+    void poll_health();
+    void on_health(const http_answer& answer);
+
+    kernel& m_kernel;
+    http_client m_client;
+    io_event m_health_timer;
+    std::map<agent::exchange_id, std::uint64_t> m_exchanges;
+    std::map<agent::feed_connection_id, feed> m_feeds;
+    bool m_health_poll_in_flight = false;
+    bool m_reachable = true;
+    bool m_draining = false;
+    target_counters m_counters;
+    port<exchange_finished> m_finished;
+    port<feed_event_received> m_feed_event;
+    port<feed_activity> m_feed_activity;
+    port<feed_closed> m_feed_closed;
+    port<drain_request> m_drain;
+};
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/include/daisydoor/runtime/error.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "daisydoor/core/error.hpp"
+
+namespace daisydoor::runtime
+{
+
+enum class errc
+{
+    unknown_service = 501,
+    duplicate_service = 502,
+    event_loop_failed = 503,
+    bind_failed = 504,
+    admin_failed = 505,
+    caller_client_missing = 506,
+    admin_unreachable = 507,
+    bad_admin_answer = 508,
+    bad_published_value = 509,
+};
+
+/// @brief Errors of sockets, tasks and the event loop, numbers 500-599.
+class runtime_error : public core::error
+{
+  public:
+    runtime_error(errc code, const std::string& what) : error("runtime", static_cast<int>(code), what) {}
+};
+
+} // namespace daisydoor::runtime
--- /dev/null
+++ b/include/daisydoor/runtime/events.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace daisydoor::runtime
+{
+
+enum class severity
+{
+    info,
+    warning,
+    error,
+};
+constexpr std::array<std::string_view, 3> severity_names{"info", "warning", "error"};
+
+/// @brief Numbered log events. The values are indices into `log_events`.
+enum class log_event
+{
+    process_started,
+    process_stopped,
+    drain_started,
+    drain_finished,
+    drain_timeout,
+    unexpected_exception,
+    configuration_accepted,
+    configuration_rejected,
+    fleet_view_accepted,
+    platform_unreachable,
+    platform_reachable,
+    link_up,
+    link_down,
+    link_bad_frame,
+    link_output_full,
+    link_refused,
+    datagram_dropped,
+    datagram_send_failed,
+    target_unreachable,
+    target_reachable,
+    target_draining,
+    pause_detected,
+    admin_bad_request,
+};
+
+struct log_event_info
+{
+    int number;
+    runtime::severity severity;
+    /// Fixed part of the text; details follow after a colon.
+    std::string_view text;
+};
+
+/// @brief Table of all log events; docs/events.md lists the same numbers, severities and texts.
+constexpr std::array<log_event_info, 23> log_events{{
+    {1001, severity::info, "process started"},
+    {1002, severity::info, "process stopped"},
+    {1003, severity::info, "drain started"},
+    {1004, severity::info, "drain finished"},
+    {1005, severity::warning, "drain timeout ended with flows left"},
+    {1006, severity::error, "unexpected exception in an event handler"},
+    {1101, severity::info, "configuration accepted"},
+    {1102, severity::error, "published configuration rejected"},
+    {1103, severity::info, "fleet view accepted"},
+    {1201, severity::warning, "platform is unreachable"},
+    {1202, severity::info, "platform is reachable again"},
+    {1301, severity::info, "peer link established"},
+    {1302, severity::warning, "peer link lost"},
+    {1303, severity::warning, "peer link closed because of a malformed frame"},
+    {1304, severity::warning, "peer link closed because its output buffer is full"},
+    {1305, severity::warning, "peer link refused"},
+    {1401, severity::warning, "datagrams dropped"},
+    {1402, severity::warning, "datagrams could not be sent"},
+    {1501, severity::warning, "target is unreachable"},
+    {1502, severity::info, "target is reachable again"},
+    {1503, severity::info, "target reports that it drains"},
+    {1601, severity::warning, "process was paused"},
+    {1701, severity::warning, "admin request rejected"},
+}};
+
+constexpr const log_event_info& info_of(log_event value) { return log_events.at(static_cast<std::size_t>(value)); }
+
+/// @brief Writes an event to the log as `[NUMBER] TEXT: DETAILS`.
+void write_log(log_event value, const std::string& details);
+
+/// @brief Passes at most one message per period and counts the ones held back.
+class rate_limit
+{
+  public:
+    using nanoseconds = std::int64_t;
+
+    explicit rate_limit(nanoseconds period) : m_period(period) {}
+
+    /// @brief Whether a message may be written now.
+    /// @param suppressed set to the number of messages held back since the last one that was written
+    bool allow(nanoseconds now, std::uint64_t& suppressed) noexcept;
+
+  private:
+    nanoseconds m_period;
+    nanoseconds m_next = INT64_MIN;
+    std::uint64_t m_suppressed = 0;
+};
+
+} // namespace daisydoor::runtime
--- /dev/null
+++ b/include/daisydoor/runtime/settings.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "daisydoor/core/endpoint.hpp"
+#include "daisydoor/core/error.hpp"
+#include "daisydoor/core/ids.hpp"
+#include "daisydoor/core/time.hpp"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisydoor::runtime
+{
+
+enum class role
+{
+    entry,
+    agent,
+};
+constexpr std::array<std::string_view, 2> role_names{"entry", "agent"};
+
+enum class log_level
+{
+    info,
+    warning,
+    error,
+};
+constexpr std::array<std::string_view, 3> log_level_names{"info", "warning", "error"};
+
+enum class settings_errc
+{
+    unreadable_file = 401,
+    bad_yaml = 402,
+    unknown_key = 403,
+    missing_key = 404,
+    wrong_type = 405,
+    out_of_range = 406,
+    bad_address = 407,
+    unknown_name = 408,
+    role_mismatch = 409,
+    duplicate = 410,
+    several = 411,
+};
+
+/// @brief One problem of a settings file.
+struct settings_problem
+{
+    settings_errc code = settings_errc::bad_yaml;
+    /// 1-based line, or 0 if the problem belongs to the whole file.
+    int line = 0;
+    /// Path of the field, such as `agent.host`.
+    std::string field;
+    /// What was found and what is allowed.
+    std::string what;
+};
+
+/// @brief Bad settings, numbers 400-499. Carries every problem of the file.
+class settings_error : public core::error
+{
+  public:
+    /// @param problems at least one
+    settings_error(const std::string& file, std::vector<settings_problem> problems);
+
+    [[nodiscard]] const std::vector<settings_problem>& problems() const noexcept { return m_problems; }
+    /// @brief One line for each problem, as `FILE:LINE: [settings.N] FIELD: WHAT`.
+    [[nodiscard]] const std::vector<std::string>& lines() const noexcept { return m_lines; }
+
+  private:
+    std::vector<settings_problem> m_problems;
+    std::vector<std::string> m_lines;
+};
+
+struct agent_settings
+{
+    core::host_id host{};
+    core::service_id service{};
+    core::endpoint target;
+    core::seconds drain_timeout{300};
+};
+
+struct settings
+{
+    runtime::role role = role::entry;
+    std::string zone;
+    core::endpoint listen;
+    core::endpoint admin;
+    core::endpoint return_path;
+    core::endpoint platform;
+    std::vector<core::endpoint> bootstrap_peers;
+    runtime::log_level log_level = log_level::info;
+    /// Set exactly for the role `agent`.
+    std::optional<agent_settings> agent;
+};
+
+/// @brief Parses settings.
+/// @param file name for error messages
+/// @throws settings_error with all problems of the text.
+settings parse_settings(const std::string& text, const std::string& file);
+
+/// @brief Reads and parses a settings file.
+/// @throws settings_error with all problems of the file.
+settings load_settings(const std::string& file);
+
+} // namespace daisydoor::runtime
--- /dev/null
+++ b/src/runtime/agent_task.cpp
@@ -0,0 +1,270 @@
+#include "daisydoor/runtime/detail/agent_task.hpp"
+
+namespace daisydoor::runtime::detail
+{
+
+namespace
+{
+
+constexpr core::milliseconds agent_tick{10};
+/// An entry with an older version gets at most one notice per second.
+constexpr core::milliseconds notice_interval{1000};
+/// Bounds the memory for notices and the links that they open within one interval.
+constexpr std::size_t max_notices = 64;
+/// The core ends a drain by itself; this margin covers a core that does not.
+constexpr core::milliseconds drain_margin{1000};
+
+} // namespace
+
+agent_task::agent_task(kernel& owner, const agent::agent_options& options, const core::endpoint& return_path,
+                       core::random_source random)
+    : m_kernel(owner), m_options(options), m_core(options, random, core::clock::now()), m_return_path(return_path),
+      m_timer(owner.base(), -1, EV_PERSIST, [this] { on_tick(); })
+{
+    const std::string name = service_names::role;
+    owner.provide<received_datagram>(name, [this](received_datagram& message) { on_datagram(message); });
+    owner.provide<drain_request>(name, [this](drain_request&) {
+        handle([this](auto now, auto& actions) { m_core.on_drain(now, actions); });
+        watch_drain();
+    });
+    owner.provide<collect_values>(name, [this](collect_values& message) { collect(message); });
+    owner.provide<collect_state>(name, [this](collect_state& message) { collect_state_of(message); });
+    provide_peer_handlers();
+    provide_target_handlers();
+    provide_configuration_handlers();
+}
+
+void agent_task::provide_peer_handlers()
+{
+    const std::string name = service_names::role;
+    m_kernel.provide<mesh_peer_up>(name, [this](mesh_peer_up& message) {
+        handle([&](auto now, auto& actions) { m_core.on_peer_up(now, message.host, message.incarnation, actions); });
+    });
+    m_kernel.provide<mesh_peer_down>(name, [this](mesh_peer_down& message) {
+        handle([&](auto now, auto& actions) { m_core.on_peer_down(now, message.host, actions); });
+    });
+    m_kernel.provide<mesh_message>(name, [this](mesh_message& message) {
+        handle([&](auto now, auto& actions) { m_core.on_peer_message(now, message.host, *message.message, actions); });
+    });
+}
+
+void agent_task::provide_target_handlers()
+{
+    const std::string name = service_names::role;
+    m_kernel.provide<exchange_finished>(name, [this](exchange_finished& message) {
+        handle([&](auto now, auto& actions) {
+            m_core.on_exchange_result(now, message.id, std::move(message.result), actions);
+        });
+    });
+    m_kernel.provide<feed_event_received>(name, [this](feed_event_received& message) {
+        handle([&](auto now, auto& actions) {
+            m_core.on_feed_event(now, message.id, message.event, std::move(message.data), actions);
+        });
+    });
+    m_kernel.provide<feed_activity>(
+        name, [this](feed_activity& message) { m_core.on_feed_activity(core::clock::now(), message.id); });
+    m_kernel.provide<feed_closed>(name, [this](feed_closed& message) {
+        handle([&](auto now, auto& actions) { m_core.on_feed_closed(now, message.id, actions); });
+    });
+}
+
+void agent_task::provide_configuration_handlers()
+{
+    const std::string name = service_names::role;
+    m_kernel.provide<configuration_accepted>(name, [this](configuration_accepted& message) {
+        m_snapshot = message.value;
+        handle([&](auto now, auto& actions) { m_core.on_configuration(now, message.value, actions); });
+        set_mesh();
+    });
+    m_kernel.provide<fleet_view_accepted>(name, [this](fleet_view_accepted& message) {
+        m_fleet = message.value;
+        handle([&](auto now, auto& actions) { m_core.on_fleet_view(now, message.value, actions); });
+    });
+    m_kernel.provide<configuration_confirmed>(name, [this](configuration_confirmed&) {
+        handle([this](auto now, auto& actions) { m_core.on_configuration_confirmed(now, actions); });
+    });
+}
+
+void agent_task::start()
+{
+    m_udp = m_kernel.find<outgoing_datagram>(service_names::udp);
+    m_flush = m_kernel.find<flush_datagrams>(service_names::udp);
+    m_mesh = m_kernel.find<set_mesh_peers>(service_names::links);
+    m_links = m_kernel.find<send_to_host>(service_names::links);
+    m_notice = m_kernel.find<send_to_endpoint>(service_names::links);
+    m_start_exchange = m_kernel.find<agent::start_exchange>(service_names::target);
+    m_cancel_exchange = m_kernel.find<agent::cancel_exchange>(service_names::target);
+    m_open_feed = m_kernel.find<agent::open_feed>(service_names::target);
+    m_close_feed = m_kernel.find<agent::close_feed>(service_names::target);
+    m_version_seen = m_kernel.find<version_seen>(service_names::config);
+    m_refresh = m_kernel.find<refresh_request>(service_names::config);
+    m_last_tick = core::clock::now();
+    m_timer.add(agent_tick);
+}
+
+void agent_task::on_datagram(const received_datagram& message)
+{
+    compare_versions(core::clock::now(), message);
+    handle(
+        [&](auto now, auto& actions) {
+            m_core.on_datagram(now, {message.data, message.size}, message.age, actions);
+        },
+        false);
+}
+
+void agent_task::compare_versions(core::time_point now, const received_datagram& message)
+{
+    const auto* env = wire::envelope_of({message.data, message.size});
+    const std::uint64_t own = m_snapshot ? core::raw(m_snapshot->version) : 0;
+    if (env == nullptr || env->config_version() == own) {
+        return;
+    }
+    if (env->config_version() > own) {
+        m_version_seen.post({message.source, core::config_version{env->config_version()}});
+    } else {
+        send_notice(now, message.source);
+    }
+}
+
+void agent_task::send_notice(core::time_point now, const core::endpoint& peer)
+{
+    for (auto it = m_notices.begin(); it != m_notices.end();) {
+        it = now - it->second >= notice_interval ? m_notices.erase(it) : std::next(it);
+    }
+    if (m_notices.size() >= max_notices || !m_notices.emplace(peer, now).second) {
+        return;
+    }
+    wire::config_noticeT body;
+    body.version = core::raw(m_snapshot->version);
+    body.fleet_version = m_fleet ? m_fleet->version : 0;
+    send_to_endpoint message{peer, {}};
+    message.message.config_version = body.version;
+    message.message.body.Set(body);
+    m_notice.post(std::move(message));
+}
+
+void agent_task::set_mesh()
+{
+    set_mesh_peers message;
+    for (const auto& service : m_snapshot->services) {
+        if (service.id != m_options.service) {
+            continue;
+        }
+        for (const auto& host : service.hosts) {
+            if (host.id != m_options.host) {
+                message.peers.push_back({host.id, host.agent});
+            }
+        }
+    }
+    m_mesh.post(std::move(message));
+}
+
+void agent_task::on_tick()
+{
+    const auto now = core::clock::now();
+    const auto gap = std::chrono::duration_cast<core::milliseconds>(now - m_last_tick);
+    m_last_tick = now;
+    if (gap > agent::pause_threshold) {
+        write_log(log_event::pause_detected, std::to_string(gap.count()) + " ms");
+    }
+    handle([this](auto time, auto& actions) { m_core.on_tick(time, actions); });
+    watch_drain();
+    std::uint64_t drops = 0;
+    for (const auto n : m_core.counters().dropped) {
+        drops += n;
+    }
+    std::uint64_t suppressed = 0;
+    if (drops != m_logged_drops && m_drop_log.allow(now.time_since_epoch().count(), suppressed)) {
+        write_log(log_event::datagram_dropped, std::to_string(drops - m_logged_drops) + " since the last report");
+        m_logged_drops = drops;
+    }
+}
+
+void agent_task::watch_drain()
+{
+    if (m_draining || m_core.context().own.state != wire::agent_state::draining) {
+        return;
+    }
+    m_draining = true;
+    write_log(log_event::drain_started, std::to_string(m_core.gauges().flows) + " flows");
+    m_drain_timer = io_event(m_kernel.base(), [this] {
+        write_log(log_event::drain_timeout, std::to_string(m_core.gauges().flows) + " flows");
+        m_kernel.stop(0);
+    });
+    m_drain_timer.add(m_options.drain_timeout + drain_margin);
+}
+
+void agent_task::handle(const core_handler& event, bool flush)
+{
+    agent::action_list actions;
+    event(core::clock::now(), actions);
+    for (auto& action : actions) {
+        std::visit([this](auto& value) { perform(value); }, action);
+    }
+    if (flush && !actions.empty()) {
+        flush_datagrams message;
+        m_flush.call(message);
+    }
+}
+
+void agent_task::perform(agent::send_datagram& action)
+{
+    outgoing_datagram message;
+    message.owned = std::move(action.bytes);
+    message.destination = m_return_path;
+    m_udp.call(message);
+}
+
+void agent_task::perform(agent::send_peer& action) { m_links.post({action.host, std::move(action.message)}); }
+void agent_task::perform(agent::start_exchange& action) { m_start_exchange.post(std::move(action)); }
+void agent_task::perform(agent::cancel_exchange& action) { m_cancel_exchange.post(action); }
+void agent_task::perform(agent::open_feed& action) { m_open_feed.post(std::move(action)); }
+void agent_task::perform(agent::close_feed& action) { m_close_feed.post(action); }
+void agent_task::perform(agent::refresh_configuration& /*action*/) { m_refresh.post({}); }
+
+void agent_task::perform(agent::drain_finished& /*action*/)
+{
+    write_log(log_event::drain_finished, std::to_string(m_core.gauges().flows) + " flows left");
+    m_kernel.stop(0);
+}
+
+void agent_task::collect(collect_values& message) const
+{
+    const auto& n = m_core.counters();
+    const auto sizes = m_core.gauges();
+    const auto value = [](std::uint64_t number) { return static_cast<double>(number); };
+    message.values = {{"agent_opens", "answered", value(n.opens_answered)},
+                      {"agent_opens", "passed_on", value(n.opens_passed_on)},
+                      {"agent_requests", "accepted", value(n.requests_accepted)},
+                      {"agent_requests", "refused_not_run", value(n.requests_refused_not_run)},
+                      {"agent_requests", "unknown", value(n.requests_unknown)},
+                      {"agent_work", "handed_to_peers", value(n.handed_to_peers)},
+                      {"agent_work", "taken_from_peers", value(n.taken_from_peers)},
+                      {"agent_flows_gone", "", value(n.flows_gone)},
+                      {"agent_flows_moved", "", value(n.flows_moved)},
+                      {"agent_events_sent", "", value(n.events_sent)},
+                      {"agent_flows", "", value(sizes.flows), false},
+                      {"agent_subscribers", "", value(sizes.subscribers), false},
+                      {"agent_queued", "", value(sizes.queued), false},
+                      {"agent_in_flight", "", value(sizes.in_flight), false},
+                      {"agent_limit", "", value(sizes.limit), false},
+                      {"agent_records", "", value(sizes.records), false}};
+    for (std::size_t i = 0; i < n.dropped.size(); ++i) {
+        message.values.push_back(
+            {"agent_dropped", std::string(agent::agent_drop_reason_names.at(i)), value(n.dropped.at(i))});
+    }
+}
+
+void agent_task::collect_state_of(collect_state& message) const
+{
+    const auto now = core::clock::now();
+    message.snapshot = m_snapshot;
+    message.fleet = m_fleet;
+    message.agent_state = wire::EnumNameagent_state(m_core.context().own.state);
+    for (const auto& [host, peer] : m_core.context().peers) {
+        message.peers.push_back({host, peer.zone, peer.link_up, peer.incarnation, peer.report,
+                                 std::chrono::duration_cast<core::milliseconds>(now - peer.reported_at)});
+    }
+}
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/src/runtime/daemon.cpp
@@ -0,0 +1,128 @@
+#include "daisydoor/runtime/daemon.hpp"
+
+#include "daisydoor/runtime/detail/agent_task.hpp"
+#include "daisydoor/runtime/detail/config_task.hpp"
+#include "daisydoor/runtime/detail/entry_task.hpp"
+#include "daisydoor/runtime/detail/link_task.hpp"
+#include "daisydoor/runtime/detail/platform_task.hpp"
+#include "daisydoor/runtime/detail/target_task.hpp"
+#include "daisydoor/runtime/detail/udp_task.hpp"
+#include "daisydoor/runtime/events.hpp"
+
+#include <array>
+#include <csignal>
+
+namespace daisydoor::runtime
+{
+
+namespace
+{
+
+core::random_source make_random()
+{
+    std::random_device device;
+    std::array<std::uint32_t, 8> words{};
+    for (auto& word : words) {
+        word = device();
+    }
+    std::seed_seq seed(words.begin(), words.end());
+    return core::random_source(seed);
+}
+
+wire::helloT make_hello(const settings& values, core::incarnation_id incarnation)
+{
+    wire::helloT hello;
+    hello.role = values.role == role::agent ? wire::process_role::agent : wire::process_role::entry;
+    hello.zone = values.zone;
+    hello.incarnation = core::raw(incarnation);
+    if (values.agent) {
+        hello.host = core::raw(values.agent->host);
+        hello.service = core::raw(values.agent->service);
+    }
+    return hello;
+}
+
+config::sync_options make_sync_options(const settings& values)
+{
+    config::sync_options options;
+    options.self = values.listen;
+    options.zone = values.zone;
+    options.bootstrap_peers = values.bootstrap_peers;
+    if (values.agent) {
+        options.service = values.agent->service;
+    }
+    return options;
+}
+
+void add_role_task(kernel& owner, const settings& values, core::incarnation_id incarnation)
+{
+    if (!values.agent) {
+        owner.add(std::make_unique<detail::entry_task>(owner, entry::entry_options{values.zone}, values.return_path));
+        return;
+    }
+    agent::agent_options options;
+    options.host = values.agent->host;
+    options.service = values.agent->service;
+    options.zone = values.zone;
+    options.incarnation = incarnation;
+    options.drain_timeout = values.agent->drain_timeout;
+    owner.add(std::make_unique<detail::target_task>(owner, values.agent->target));
+    owner.add(std::make_unique<detail::agent_task>(owner, options, values.return_path, make_random()));
+}
+
+/// Turns signals into messages.
+class signal_task : public task
+{
+  public:
+    explicit signal_task(kernel& owner)
+        : m_kernel(owner), m_interrupt(owner.base(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { m_kernel.stop(0); }),
+          m_terminate(owner.base(), SIGTERM, EV_SIGNAL | EV_PERSIST, [this] { m_drain.post({}); })
+    {
+    }
+
+    void start() override
+    {
+        m_drain = m_kernel.find<drain_request>(service_names::role);
+        m_interrupt.add();
+        m_terminate.add();
+    }
+
+  private:
+    kernel& m_kernel;
+    detail::io_event m_interrupt;
+    detail::io_event m_terminate;
+    port<drain_request> m_drain;
+};
+
+} // namespace
+
+void add_tasks(kernel& owner, const settings& values)
+{
+    auto random = make_random();
+    core::incarnation_id incarnation{};
+    while (core::raw(incarnation) == 0) {
+        incarnation = core::incarnation_id{random()};
+    }
+    owner.add(std::make_unique<detail::udp_task>(owner, values.listen));
+    owner.add(std::make_unique<detail::link_task>(
+        owner, detail::link_options{values.listen, make_hello(values, incarnation)}, make_random()));
+    owner.add(std::make_unique<detail::platform_task>(owner, values.platform));
+    owner.add(std::make_unique<detail::config_task>(owner, make_sync_options(values), make_random()));
+    add_role_task(owner, values, incarnation);
+    owner.add(std::make_unique<signal_task>(owner));
+}
+
+int run_daemon(const settings& values)
+{
+    // A peer or target that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    kernel owner;
+    add_tasks(owner, values);
+    write_log(log_event::process_started, std::string(role_names.at(static_cast<std::size_t>(values.role))) + " at " +
+                                              core::to_string(values.listen));
+    const int result = owner.run();
+    write_log(log_event::process_stopped, "exit code " + std::to_string(result));
+    return result;
+}
+
+} // namespace daisydoor::runtime
--- /dev/null
+++ b/src/runtime/http_client.cpp
@@ -0,0 +1,234 @@
+#include "daisydoor/runtime/detail/http_client.hpp"
+
+#include "daisydoor/runtime/detail/socket_address.hpp"
+
+#include <algorithm>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+
+namespace daisydoor::runtime::detail
+{
+
+namespace
+{
+
+/// Bounds the idle connections kept after a burst.
+constexpr std::size_t max_idle_connections = 64;
+/// Largest answer that is accepted: 65,535 segments of an answer hold more, but the memory of one agent is bounded.
+constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
+/// libevent's own timeout must not fire before the exchange's, which knows whether bytes were sent.
+constexpr core::milliseconds timeout_margin{2000};
+/// A stream without any byte for this long is given up; the agent core replaces a silent feed earlier.
+constexpr core::milliseconds stream_timeout{60'000};
+
+} // namespace
+
+struct http_client::exchange
+{
+    http_client* owner = nullptr;
+    std::uint64_t id = 0;
+    http_request request;
+    done_handler done;
+    evhttp_connection* connection = nullptr;
+    evbuffer_cb_entry* output_watch = nullptr;
+    bool bytes_sent = false;
+    /// Set by libevent's error handler, which runs before the output buffer is emptied.
+    bool failed = false;
+    http_outcome failure = http_outcome::broken;
+    io_event timer;
+
+    [[nodiscard]] evbuffer* output() const
+    {
+        return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    }
+};
+
+bool is_valid_path(const std::string& path) noexcept
+{
+    return !path.empty() && path.front() == '/' &&
+           std::all_of(path.begin(), path.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+http_client::http_client(kernel& owner, const core::endpoint& server)
+    : m_kernel(owner), m_ip(ip_of(server)), m_server(server),
+      m_retired(std::make_shared<std::vector<evhttp_connection*>>())
+{
+}
+
+http_client::~http_client()
+{
+    for (auto& [id, value] : m_exchanges) {
+        evhttp_connection_free(value->connection);
+    }
+    for (auto* list : {&m_idle, m_retired.get()}) {
+        std::for_each(list->begin(), list->end(), evhttp_connection_free);
+        list->clear();
+    }
+}
+
+evhttp_connection* http_client::take_connection(core::milliseconds timeout)
+{
+    evhttp_connection* result = nullptr;
+    if (m_idle.empty()) {
+        result = evhttp_connection_base_bufferevent_new(m_kernel.base(), nullptr, nullptr, m_ip.c_str(), m_server.port);
+        if (result == nullptr) {
+            throw runtime_error(errc::event_loop_failed, "libevent cannot create an HTTP connection");
+        }
+        evhttp_connection_set_max_body_size(result, max_answer_bytes);
+        evhttp_connection_set_max_headers_size(result, max_header_bytes);
+    } else {
+        result = m_idle.back();
+        m_idle.pop_back();
+    }
+    const auto limit = timeout.count() == 0 ? stream_timeout : timeout + timeout_margin;
+    const timeval value{limit.count() / 1000, limit.count() % 1000 * 1000};
+    evhttp_connection_set_timeout_tv(result, &value);
+    return result;
+}
+
+evhttp_request* http_client::make_request(exchange& value)
+{
+    evhttp_request* request = evhttp_request_new(
+        [](evhttp_request* answer, void* argument) {
+            auto* const self = static_cast<exchange*>(argument);
+            run_guarded([&] { self->owner->on_done(*self, answer); });
+        },
+        &value);
+    evhttp_request_set_error_cb(request, [](evhttp_request_error code, void* argument) {
+        auto* const self = static_cast<exchange*>(argument);
+        self->failed = true;
+        self->failure = !self->bytes_sent            ? http_outcome::connect_failed
+                        : code == EVREQ_HTTP_TIMEOUT ? http_outcome::timed_out
+                                                     : http_outcome::broken;
+    });
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", core::to_string(m_server).c_str());
+    for (const auto& [name, text] : value.request.headers) {
+        evhttp_add_header(headers, name.c_str(), text.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), value.request.body.data(), value.request.body.size());
+    if (!value.request.on_part) {
+        return request;
+    }
+    evhttp_request_set_header_cb(request, [](evhttp_request* answer, void* argument) {
+        auto* const self = static_cast<exchange*>(argument);
+        const char* type = evhttp_find_header(evhttp_request_get_input_headers(answer), "Content-Type");
+        const int status = evhttp_request_get_response_code(answer);
+        return self->request.on_headers(status, type != nullptr ? type : "") ? 0 : -1;
+    });
+    evhttp_request_set_chunked_cb(request, [](evhttp_request* answer, void* argument) {
+        auto* const self = static_cast<exchange*>(argument);
+        evbuffer* input = evhttp_request_get_input_buffer(answer);
+        const std::size_t size = evbuffer_get_length(input);
+        const unsigned char* data = evbuffer_pullup(input, -1);
+        run_guarded([&] { self->request.on_part({data, size}); });
+    });
+    return request;
+}
+
+std::uint64_t http_client::start(http_request request, done_handler done)
+{
+    auto owned = std::make_unique<exchange>();
+    auto& value = *owned;
+    const std::uint64_t id = m_next_id++;
+    value.owner = this;
+    value.id = id;
+    value.request = std::move(request);
+    value.done = std::move(done);
+    value.connection = take_connection(value.request.timeout);
+    m_exchanges.emplace(id, std::move(owned));
+    value.output_watch = evbuffer_add_cb(
+        value.output(),
+        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
+            auto* const self = static_cast<exchange*>(argument);
+            self->bytes_sent = self->bytes_sent || info->n_deleted > 0;
+        },
+        &value);
+    if (value.request.timeout.count() > 0) {
+        value.timer = io_event(m_kernel.base(), [this, id] { on_timeout(id); });
+        value.timer.add(value.request.timeout);
+    }
+    const auto method = value.request.method;
+    const std::string path = value.request.path;
+    if (evhttp_make_request(value.connection, make_request(value), method, path.c_str()) != 0) {
+        if (const auto it = m_exchanges.find(id); it != m_exchanges.end()) {
+            finish(*it->second, {http_outcome::connect_failed, 0, {}, {}}, false);
+        }
+    }
+    return id;
+}
+
+void http_client::cancel(std::uint64_t id)
+{
+    if (const auto it = m_exchanges.find(id); it != m_exchanges.end()) {
+        it->second->done = nullptr;
+        finish(*it->second, {}, false);
+    }
+}
+
+void http_client::on_timeout(std::uint64_t id)
+{
+    if (const auto it = m_exchanges.find(id); it != m_exchanges.end()) {
+        const auto outcome = it->second->bytes_sent ? http_outcome::timed_out : http_outcome::connect_failed;
+        finish(*it->second, {outcome, 0, {}, {}}, false);
+    }
+}
+
+void http_client::on_done(exchange& value, evhttp_request* request)
+{
+    if (request == nullptr || value.failed) {
+        finish(value, {value.failed ? value.failure : http_outcome::broken, 0, {}, {}}, false);
+        return;
+    }
+    const int status = evhttp_request_get_response_code(request);
+    if (status == 0) {
+        // libevent reports a failed connect by a request without a status.
+        finish(value, {http_outcome::connect_failed, 0, {}, {}}, false);
+        return;
+    }
+    http_answer answer{http_outcome::answered, status, {}, {}};
+    if (const char* version = evhttp_find_header(evhttp_request_get_input_headers(request), "X-Version")) {
+        answer.version = version;
+    }
+    evbuffer* input = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(input));
+    evbuffer_remove(input, answer.body.data(), answer.body.size());
+    finish(value, std::move(answer), !value.request.on_part);
+}
+
+void http_client::finish(exchange& value, http_answer answer, bool reusable)
+{
+    const auto it = m_exchanges.find(value.id);
+    if (it == m_exchanges.end()) {
+        // Cancelled inside one of its own handlers; libevent reports the end of the connection afterwards.
+        return;
+    }
+    if (value.output_watch != nullptr) {
+        evbuffer_remove_cb_entry(value.output(), value.output_watch);
+    }
+    if (reusable && m_idle.size() < max_idle_connections) {
+        m_idle.push_back(value.connection);
+    } else {
+        free_later(value.connection);
+    }
+    auto owned = std::move(it->second);
+    m_exchanges.erase(it);
+    if (owned->done) {
+        owned->done(std::move(answer));
+    }
+    // The exchange's own timer may be running this function.
+    m_kernel.defer([kept = std::shared_ptr<exchange>(std::move(owned))] {});
+}
+
+void http_client::free_later(evhttp_connection* connection)
+{
+    m_retired->push_back(connection);
+    m_kernel.defer([retired = m_retired] {
+        std::for_each(retired->begin(), retired->end(), evhttp_connection_free);
+        retired->clear();
+    });
+}
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/src/runtime/link_task.cpp
@@ -0,0 +1,272 @@
+#include "daisydoor/runtime/detail/link_task.hpp"
+
+#include "daisydoor/runtime/detail/socket_address.hpp"
+#include "daisydoor/runtime/events.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::runtime::detail
+{
+
+namespace
+{
+
+constexpr core::milliseconds link_tick{50};
+constexpr core::milliseconds backoff_initial{100};
+constexpr core::milliseconds backoff_max{2000};
+/// Mesh links carry a report every 500 ms; a longer silence means that this connection is dead even if a new one works.
+constexpr core::milliseconds mesh_silence{4000};
+constexpr core::milliseconds connect_timeout{2000};
+/// Idle links to processes outside the mesh are closed, so that their number stays bounded.
+constexpr core::milliseconds idle_timeout{30'000};
+/// Fan-in of the configuration exchange stays far below this.
+constexpr std::size_t max_links = 512;
+constexpr int listen_backlog = 128;
+
+} // namespace
+
+link_task::link_task(kernel& owner, link_options options, core::random_source random)
+    : m_kernel(owner), m_options(std::move(options)), m_random(random),
+      m_fd(bind_socket(m_options.listen, SOCK_STREAM)), m_listener(nullptr, &evconnlistener_free),
+      m_timer(owner.base(), -1, EV_PERSIST, [this] { on_tick(); })
+{
+    m_options.hello.listen = std::make_unique<wire::wire_endpoint>(wire::to_wire(m_options.listen));
+    const auto callback = [](evconnlistener*, evutil_socket_t fd, sockaddr* address, int size, void* self) {
+        sockaddr_storage storage{};
+        std::copy_n(reinterpret_cast<const char*>(address), std::min<std::size_t>(size, sizeof storage),
+                    reinterpret_cast<char*>(&storage));
+        run_guarded([=] { static_cast<link_task*>(self)->accept(fd, from_socket_address(storage)); });
+    };
+    m_listener.reset(evconnlistener_new(owner.base(), callback, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                        listen_backlog, m_fd));
+    if (!m_listener) {
+        throw runtime_error(errc::bind_failed, "cannot listen on " + core::to_string(m_options.listen));
+    }
+    owner.provide<collect_values>(service_names::links, [this](collect_values& message) { collect(message); });
+    owner.provide<set_mesh_peers>(service_names::links, [this](set_mesh_peers& message) { set_mesh(message); });
+    owner.provide<send_to_host>(service_names::links, [this](send_to_host& message) { send_host(message); });
+    owner.provide<send_to_endpoint>(service_names::links,
+                                    [this](send_to_endpoint& message) { send_endpoint(message); });
+}
+
+link_task::~link_task() = default;
+
+void link_task::start()
+{
+    m_config = m_kernel.find<peer_message_received>(service_names::config);
+    m_peer_up = m_kernel.find_optional<mesh_peer_up>(service_names::role);
+    m_peer_down = m_kernel.find_optional<mesh_peer_down>(service_names::role);
+    m_mesh_message = m_kernel.find_optional<mesh_message>(service_names::role);
+    m_timer.add(link_tick);
+}
+
+void link_task::collect(collect_values& message) const
+{
+    message.values = {{"links", "", static_cast<double>(m_links.size()), false},
+                      {"mesh_links", "", static_cast<double>(m_mesh.size()), false},
+                      {"links_accepted", "", static_cast<double>(m_counters.accepted)},
+                      {"links_dialled", "", static_cast<double>(m_counters.dialled)},
+                      {"links_closed", "", static_cast<double>(m_counters.closed)},
+                      {"link_bad_frames", "", static_cast<double>(m_counters.bad_frames)},
+                      {"link_output_full", "", static_cast<double>(m_counters.output_full)},
+                      {"link_undeliverable", "", static_cast<double>(m_counters.undeliverable)},
+                      {"link_frames_received", "", static_cast<double>(m_counters.frames_received)},
+                      {"link_frames_sent", "", static_cast<double>(m_counters.frames_sent)},
+                      {"link_bytes_sent", "", static_cast<double>(m_counters.bytes_sent)}};
+}
+
+link_hooks link_task::hooks()
+{
+    return {[this](peer_link& link) { on_hello(link); },
+            [this](peer_link& link, wire::peer_messageT message) { on_message(link, std::move(message)); },
+            [this](peer_link& link) { on_closed(link); }};
+}
+
+peer_link* link_task::add_link(std::unique_ptr<peer_link> link)
+{
+    peer_link* const result = link.get();
+    m_links.emplace(result, std::move(link));
+    return result;
+}
+
+void link_task::accept(int fd, const core::endpoint& remote)
+{
+    if (m_links.size() >= max_links) {
+        write_log(log_event::link_refused, core::to_string(remote) + ", " + std::to_string(max_links) + " links open");
+        evutil_closesocket(fd);
+        return;
+    }
+    ++m_counters.accepted;
+    add_link(std::make_unique<peer_link>(m_kernel.base(), fd, remote, m_options.hello, m_counters, hooks()));
+}
+
+peer_link* link_task::dial(const core::endpoint& remote)
+{
+    ++m_counters.dialled;
+    return add_link(std::make_unique<peer_link>(m_kernel.base(), -1, remote, m_options.hello, m_counters, hooks()));
+}
+
+bool link_task::is_mesh_link(const peer_link& link) const
+{
+    const auto& own = m_options.hello;
+    const auto& peer = *link.hello();
+    if (own.role != wire::process_role::agent || peer.role != wire::process_role::agent ||
+        own.service != peer.service || own.host == peer.host) {
+        return false;
+    }
+    return link.is_dialled() == (own.host < peer.host);
+}
+
+void link_task::on_hello(peer_link& link)
+{
+    if (is_mesh_link(link)) {
+        join_mesh(link, core::host_id{link.hello()->host});
+    }
+}
+
+void link_task::join_mesh(peer_link& link, core::host_id host)
+{
+    if (const auto it = m_mesh.find(host); it != m_mesh.end() && it->second != &link) {
+        // The peer dialled again, so the earlier link is dead on its side.
+        it->second->close();
+    }
+    m_mesh[host] = &link;
+    if (const auto it = m_targets.find(host); it != m_targets.end()) {
+        it->second.backoff = core::milliseconds{0};
+    }
+    write_log(log_event::link_up, "host " + std::to_string(core::raw(host)) + " at " + core::to_string(link.remote()));
+    m_peer_up.post({host, core::incarnation_id{link.hello()->incarnation}});
+}
+
+void link_task::on_message(peer_link& link, wire::peer_messageT message)
+{
+    auto shared = std::make_shared<const wire::peer_messageT>(std::move(message));
+    m_config.post({link.remote(), shared});
+    const core::host_id host{link.hello()->host};
+    if (const auto it = m_mesh.find(host); m_mesh_message && it != m_mesh.end() && it->second == &link) {
+        m_mesh_message.post({host, std::move(shared)});
+    }
+}
+
+void link_task::on_closed(peer_link& link)
+{
+    for (auto& [host, target] : m_targets) {
+        if (target.dialled == &link) {
+            target.dialled = nullptr;
+            target.backoff = next_backoff(target.backoff);
+            target.next_dial = core::clock::now() + target.backoff;
+        }
+    }
+    const auto it = std::find_if(m_mesh.begin(), m_mesh.end(), [&](const auto& pair) { return pair.second == &link; });
+    if (it != m_mesh.end()) {
+        write_log(log_event::link_down, "host " + std::to_string(core::raw(it->first)));
+        m_peer_down.post({it->first});
+        m_mesh.erase(it);
+    }
+    // The link may be in one of its own handlers.
+    m_kernel.defer([this, closed = &link] { m_links.erase(closed); });
+}
+
+void link_task::set_mesh(const set_mesh_peers& message)
+{
+    std::map<core::host_id, mesh_target> targets;
+    for (const auto& peer : message.peers) {
+        const auto it = m_targets.find(peer.host);
+        if (it != m_targets.end() && it->second.address == peer.address) {
+            targets.emplace(peer.host, it->second);
+        } else {
+            targets.emplace(peer.host, mesh_target{peer.host, peer.address, nullptr, {}, {}});
+        }
+    }
+    std::vector<peer_link*> leaving;
+    for (const auto& [host, link] : m_mesh) {
+        const auto it = targets.find(host);
+        if (it == targets.end() || (link->is_dialled() && it->second.dialled != link)) {
+            leaving.push_back(link);
+        }
+    }
+    m_targets.swap(targets);
+    for (auto* link : leaving) {
+        link->close();
+    }
+    dial_mesh(core::clock::now());
+}
+
+void link_task::send_host(const send_to_host& message)
+{
+    if (const auto it = m_mesh.find(message.host); it != m_mesh.end()) {
+        it->second->send(message.message);
+        return;
+    }
+    ++m_counters.undeliverable;
+}
+
+peer_link* link_task::find_link(const core::endpoint& remote)
+{
+    peer_link* found = nullptr;
+    for (const auto& [link, owned] : m_links) {
+        if (link->is_closed() || link->remote() != remote) {
+            continue;
+        }
+        if (link->hello()) {
+            return link;
+        }
+        found = link->is_dialled() ? link : found;
+    }
+    return found;
+}
+
+void link_task::send_endpoint(const send_to_endpoint& message)
+{
+    if (message.peer == m_options.listen || message.peer.empty()) {
+        ++m_counters.undeliverable;
+        return;
+    }
+    peer_link* link = find_link(message.peer);
+    if (link == nullptr && m_links.size() < max_links) {
+        link = dial(message.peer);
+    }
+    if (link == nullptr) {
+        ++m_counters.undeliverable;
+        return;
+    }
+    link->send(message.message);
+}
+
+void link_task::on_tick()
+{
+    const auto now = core::clock::now();
+    std::vector<peer_link*> silent;
+    for (const auto& [link, owned] : m_links) {
+        const auto it = link->hello() ? m_mesh.find(core::host_id{link->hello()->host}) : m_mesh.end();
+        const bool mesh = it != m_mesh.end() && it->second == link;
+        const auto last = mesh ? link->last_received() : std::max(link->last_received(), link->last_sent());
+        const auto limit = mesh ? mesh_silence : link->hello() ? idle_timeout : connect_timeout;
+        if (!link->is_closed() && now - last > limit) {
+            silent.push_back(link);
+        }
+    }
+    for (auto* link : silent) {
+        link->close();
+    }
+    dial_mesh(now);
+}
+
+void link_task::dial_mesh(core::time_point now)
+{
+    for (auto& [host, target] : m_targets) {
+        if (m_options.hello.host < core::raw(host) && target.dialled == nullptr && now >= target.next_dial) {
+            target.dialled = dial(target.address);
+        }
+    }
+}
+
+core::milliseconds link_task::next_backoff(core::milliseconds previous)
+{
+    const auto base = previous.count() == 0 ? backoff_initial : std::min(previous * 2, backoff_max * 4 / 5);
+    // Jitter keeps the peers of a restarted process from dialling in step.
+    std::uniform_int_distribution<std::int64_t> jitter(base.count(), base.count() * 5 / 4);
+    return core::milliseconds(jitter(m_random));
+}
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/src/runtime/platform_task.cpp
@@ -0,0 +1,75 @@
+#include "daisydoor/runtime/detail/platform_task.hpp"
+
+#include "daisydoor/runtime/events.hpp"
+
+#include <charconv>
+
+namespace daisydoor::runtime::detail
+{
+
+namespace
+{
+/// Time for an answer beyond the wait that the request itself names.
+constexpr core::milliseconds read_timeout{3000};
+constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
+/// By the platform's contract no value is larger.
+constexpr std::size_t max_value_bytes = 1'000'000;
+} // namespace
+
+platform_task::platform_task(kernel& owner, const core::endpoint& platform) : m_kernel(owner), m_client(owner, platform)
+{
+    owner.provide<collect_values>(service_names::platform, [this](collect_values& message) { collect(message); });
+    owner.provide<platform_read>(service_names::platform, [this](platform_read& message) { read(message); });
+}
+
+void platform_task::start() { m_config = m_kernel.find<platform_result>(service_names::config); }
+
+void platform_task::collect(collect_values& message) const
+{
+    message.values = {{"platform_reads", "", static_cast<double>(m_counters.reads)},
+                      {"platform_reads_failed", "", static_cast<double>(m_counters.failed)},
+                      {"platform_reads_unchanged", "", static_cast<double>(m_counters.unchanged)},
+                      {"platform_reachable", "", static_cast<double>(m_reachable), false}};
+}
+
+void platform_task::read(const platform_read& message)
+{
+    ++m_counters.reads;
+    http_request request;
+    request.path = "/values/" + message.key;
+    if (message.after) {
+        request.path += "?after=" + std::to_string(*message.after) + "&wait_ms=" + std::to_string(message.wait.count());
+    }
+    request.timeout = read_timeout + message.wait;
+    if (!is_valid_path(request.path)) {
+        m_config.post({message.key, false, false, 0, {}});
+        return;
+    }
+    m_client.start(std::move(request),
+                   [this, key = message.key](http_answer answer) { on_answer(key, std::move(answer)); });
+}
+
+void platform_task::on_answer(const std::string& key, http_answer answer)
+{
+    const bool reachable = answer.outcome == http_outcome::answered;
+    if (reachable != m_reachable) {
+        m_reachable = reachable;
+        write_log(reachable ? log_event::platform_reachable : log_event::platform_unreachable, "reading " + key);
+    }
+    platform_result result{key, false, false, 0, {}};
+    const auto* end = answer.version.data() + answer.version.size();
+    const bool has_version = std::from_chars(answer.version.data(), end, result.version).ec == std::errc{};
+    if (reachable && answer.status == status_ok && has_version && answer.body.size() <= max_value_bytes) {
+        result.ok = true;
+        result.content.assign(answer.body.begin(), answer.body.end());
+    } else if (reachable && answer.status == status_not_modified) {
+        ++m_counters.unchanged;
+        result.unchanged = true;
+    } else {
+        ++m_counters.failed;
+    }
+    m_config.post(std::move(result));
+}
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/tests/unit/unit-runtime-kernel.cpp
@@ -0,0 +1,82 @@
+#include "daisydoor/runtime/kernel.hpp"
+
+#include <gtest/gtest.h>
+
+namespace daisydoor::runtime
+{
+namespace
+{
+
+struct ping
+{
+    int value = 0;
+};
+
+struct pong
+{
+    int value = 0;
+};
+
+class kernel_test : public ::testing::Test
+{
+  protected:
+    kernel owner;
+    std::vector<int> values;
+};
+
+int number_of(const std::function<void()>& function)
+{
+    try {
+        function();
+    } catch (const runtime_error& e) {
+        return e.number();
+    }
+    return 0;
+}
+
+// Guards against a task that silently talks to nobody because of a wrong name or message type.
+TEST_F(kernel_test, find_unknown_service_or_type_throws)
+{
+    owner.provide<ping>("a", [](ping&) {});
+    EXPECT_EQ(number_of([this] { owner.find<ping>("b"); }), static_cast<int>(errc::unknown_service));
+    EXPECT_EQ(number_of([this] { owner.find<pong>("a"); }), static_cast<int>(errc::unknown_service));
+    EXPECT_FALSE(owner.find_optional<pong>("a"));
+    EXPECT_TRUE(owner.find_optional<ping>("a"));
+}
+
+// Guards against a second task that takes over the messages of the first one.
+TEST_F(kernel_test, provide_twice_throws)
+{
+    owner.provide<ping>("a", [](ping&) {});
+    EXPECT_EQ(number_of([this] { owner.provide<ping>("a", [](ping&) {}); }), static_cast<int>(errc::duplicate_service));
+}
+
+// Guards against reentrant delivery: a handler that posts must end before the posted message is handled.
+TEST_F(kernel_test, post_inside_handler_delivered_in_next_round)
+{
+    port<pong> answer;
+    owner.provide<ping>("a", [&](ping& message) {
+        answer.post({message.value + 1});
+        values.push_back(message.value);
+    });
+    owner.provide<pong>("b", [&](pong& message) { values.push_back(message.value); });
+    answer = owner.find<pong>("b");
+    owner.find<ping>("a").post({1});
+    EXPECT_TRUE(values.empty());
+    owner.run_deferred();
+    EXPECT_EQ(values, (std::vector<int>{1}));
+    owner.run_deferred();
+    EXPECT_EQ(values, (std::vector<int>{1, 2}));
+}
+
+// Guards against an exception that crosses libevent's C frames or drops the messages behind it.
+TEST_F(kernel_test, run_deferred_exception_later_messages_delivered)
+{
+    owner.defer([] { throw std::runtime_error("expected by the test"); });
+    owner.defer([this] { values.push_back(7); });
+    owner.run_deferred();
+    EXPECT_EQ(values, (std::vector<int>{7}));
+}
+
+} // namespace
+} // namespace daisydoor::runtime
