Add request records, hand-over and datagram checks of the agent

Cause: the agent role has interfaces but no code that accepts, runs and answers requests, or that verifies datagrams.

Partial: agent_core links only once agent::flows exists; hand-over, drain and ejection have no tests yet.

--- a/include/daisydoor/agent/agent_core.hpp
+++ b/include/daisydoor/agent/agent_core.hpp
@@ -71,7 +71,7 @@
     void on_feed_activity(core::time_point now, feed_connection_id id);
     void on_feed_closed(core::time_point now, feed_connection_id id, action_list& actions);
     void on_configuration(core::time_point now, config::snapshot_ptr value, action_list& actions);
-    void on_fleet_view(core::time_point now, config::fleet_view_ptr value, action_list& actions);
+    void on_fleet_view(core::time_point now, const config::fleet_view_ptr& value, action_list& actions);
     void on_configuration_confirmed(core::time_point now, action_list& actions);
     /// @brief Starts a drain (SIGTERM, or the target's health endpoint reports that it drains).
     void on_drain(core::time_point now, action_list& actions);
--- a/include/daisydoor/agent/work.hpp
+++ b/include/daisydoor/agent/work.hpp
@@ -44,9 +44,13 @@
     /// @brief Whether the flow has records that the caller has not acknowledged.
     [[nodiscard]] bool has_records(core::flow_id flow) const;
 
+    /// @brief Whether a connected peer has not acknowledged the result of work that ran here for it.
+    [[nodiscard]] bool has_unacknowledged_results() const;
+
     void on_peer_up(core::time_point now, core::host_id host, core::incarnation_id incarnation, action_list& actions);
     void on_peer_down(core::time_point now, core::host_id host, action_list& actions);
-    /// @brief Handles work_request, handover, handover_result, outcome_query and result_ack; ignores other kinds.
+    /// @brief Handles load_report, work_request, handover, handover_result, outcome_query and result_ack; ignores
+    /// other kinds. The caller has stored a load report in the context already.
     void on_peer_message(core::time_point now, core::host_id host, const wire::peer_messageT& message,
                          action_list& actions);
     void on_exchange_result(core::time_point now, exchange_id id, exchange_result result, action_list& actions);
@@ -55,6 +59,8 @@
 
     /// @brief Whether the target failed so often that the agent should eject itself.
     [[nodiscard]] bool is_target_failing() const noexcept;
+    /// @brief Whether the concurrency limit has reached the number of slots since the last cold start.
+    [[nodiscard]] bool is_warm() const noexcept;
     [[nodiscard]] std::size_t queued() const noexcept;
     [[nodiscard]] std::size_t in_flight() const noexcept;
     [[nodiscard]] std::size_t limit() const noexcept;
--- /dev/null
+++ b/src/agent/agent_core.cpp
@@ -0,0 +1,450 @@
+#include "daisydoor/agent/agent_core.hpp"
+
+#include "daisydoor/agent/detail/answer_segments.hpp"
+#include "daisydoor/agent/detail/lifecycle.hpp"
+#include "daisydoor/agent/detail/load_reporter.hpp"
+#include "daisydoor/agent/detail/work_impl.hpp"
+#include "daisydoor/agent/flows.hpp"
+#include "daisydoor/agent/work.hpp"
+#include "daisydoor/core/fault.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace daisydoor::agent
+{
+
+namespace
+{
+
+wire::envelope reply_envelope_of(const wire::envelope& env, core::config_version version)
+{
+    return {env.service_address(), env.caller_address(), core::raw(version), 0, 0};
+}
+
+/// Takes the time that the datagram has waited off the caller's remaining time.
+void age_deadline(wire::requestT& body, core::milliseconds age)
+{
+    const auto waited = static_cast<std::uint64_t>(std::max<core::milliseconds::rep>(age.count(), 0));
+    body.deadline_ms = waited >= body.deadline_ms ? 0 : body.deadline_ms - static_cast<std::uint32_t>(waited);
+}
+
+} // namespace
+
+struct agent_core::impl
+{
+    impl(agent_options options, core::random_source random, core::time_point now)
+        : ctx(make_context(std::move(options), random, now)), requests(ctx), sessions(ctx, requests), status(ctx)
+    {
+        status.note_time(now);
+    }
+
+    static agent_context make_context(agent_options options, core::random_source random, core::time_point now)
+    {
+        agent_context result;
+        result.options = std::move(options);
+        result.random = random;
+        result.started_at = now;
+        return result;
+    }
+
+    void drop(agent_drop_reason reason) { ++count.dropped.at(static_cast<std::size_t>(reason)); }
+    void note_time(core::time_point now, action_list& actions);
+    void on_open(core::time_point now, const wire::envelope& env, wire::bytes_view datagram, action_list& actions);
+    void on_established(core::time_point now, const wire::envelope& env, wire::bytes_view datagram,
+                        core::milliseconds age, action_list& actions);
+    /// @brief Checks key, MAC, service and host of a token. Counts and answers a datagram that fails.
+    bool check_token(const wire::envelope& env, const wire::packet_header& header, action_list& actions);
+    void dispatch(core::time_point now, const flow_address& from, wire::packet_bodyUnion& body, core::milliseconds age,
+                  action_list& actions);
+    /// @brief Puts a configuration in force. Returns whether it lists this host.
+    bool adopt_service(config::snapshot_ptr value);
+    void update_peer_zones();
+    /// @brief Common end of every event: status, load reports, end of a drain.
+    void settle(core::time_point now, action_list& actions);
+    [[nodiscard]] wire::load_reportT report() const;
+
+    agent_context ctx;
+    work requests;
+    flows sessions;
+    detail::lifecycle status;
+    detail::load_reporter reporter;
+    agent_counters count;
+    /// Datagrams answered with flow_gone because the token names another service or host.
+    std::uint64_t foreign_tokens = 0;
+    /// Last configuration that lists this service, so that flows outlive its removal while they move away.
+    config::snapshot_ptr service_source;
+    bool drain_reported = false;
+};
+
+void agent_core::impl::note_time(core::time_point now, action_list& actions)
+{
+    if (status.note_time(now)) {
+        actions.emplace_back(refresh_configuration{});
+        // Refuses what expired during the pause before any later event can start it.
+        requests.on_tick(now, actions);
+    }
+}
+
+void agent_core::impl::on_open(core::time_point now, const wire::envelope& env, wire::bytes_view datagram,
+                               action_list& actions)
+{
+    const auto decoded =
+        wire::decode_packet({datagram.data + sizeof(wire::envelope), datagram.size - sizeof(wire::envelope)});
+    if (!decoded) {
+        drop(agent_drop_reason::malformed);
+        return;
+    }
+    const auto* body = decoded->packet.body.Asopen();
+    if (body == nullptr) {
+        drop(agent_drop_reason::unexpected_kind);
+        return;
+    }
+    if (ctx.service == nullptr || ctx.sealer == nullptr || ctx.own.awaiting_confirmation) {
+        drop(agent_drop_reason::no_configuration);
+        wire::refusalT refusal;
+        refusal.kind = wire::refusal_kind::not_run;
+        refusal.reason = wire::refusal_reason::no_configuration;
+        refusal.retry_after_ms = static_cast<std::uint32_t>(confirmation_timeout.count());
+        const wire::packet_header header(wire::packet_magic, wire::packet_class::reply, decoded->header.attempt(),
+                                         decoded->header.flow_hash(), {});
+        actions.emplace_back(send_datagram{
+            wire::encode_datagram(reply_envelope_of(env, ctx.version()), header, wire::make_packet(refusal))});
+        return;
+    }
+    if (wire::from_wire(env.service_address()) != ctx.service->address) {
+        drop(agent_drop_reason::wrong_service);
+        return;
+    }
+    sessions.on_open(now, env, decoded->header, *body, datagram, actions);
+}
+
+bool agent_core::impl::check_token(const wire::envelope& env, const wire::packet_header& header, action_list& actions)
+{
+    if (ctx.service == nullptr || ctx.sealer == nullptr) {
+        drop(agent_drop_reason::no_configuration);
+        return false;
+    }
+    const auto& token = header.token();
+    const auto verdict = ctx.sealer->verify(token);
+    if (verdict == wire::token_status::unknown_key) {
+        drop(agent_drop_reason::unknown_key);
+        return false;
+    }
+    if (verdict == wire::token_status::bad_mac && !core::is_active(core::fault::skip_mac_check)) {
+        drop(agent_drop_reason::bad_mac);
+        return false;
+    }
+    const bool own_token =
+        token.service() == core::raw(ctx.options.service) && token.host() == core::raw(ctx.options.host);
+    const bool own_address = wire::from_wire(env.service_address()) == ctx.service->address;
+    if ((own_token && own_address) || core::is_active(core::fault::ignore_token_service)) {
+        return true;
+    }
+    drop(agent_drop_reason::wrong_service);
+    if (own_address) {
+        // The address now belongs to this service, or the host id to this agent: the flow has no holder any more.
+        wire::flow_goneT gone;
+        gone.reason = wire::refusal_reason::flow_gone;
+        detail::send_reply({{}, {}, reply_envelope_of(env, ctx.version()), token}, wire::make_packet(gone), actions);
+        ++foreign_tokens;
+    }
+    return false;
+}
+
+void agent_core::impl::on_established(core::time_point now, const wire::envelope& env, wire::bytes_view datagram,
+                                      core::milliseconds age, action_list& actions)
+{
+    if (!check_token(env, *wire::header_of(datagram), actions)) {
+        return;
+    }
+    auto decoded =
+        wire::decode_packet({datagram.data + sizeof(wire::envelope), datagram.size - sizeof(wire::envelope)});
+    if (!decoded) {
+        drop(agent_drop_reason::malformed);
+        return;
+    }
+    auto& body = decoded->packet.body;
+    if (body.type < wire::packet_body::request || body.type > wire::packet_body::close) {
+        drop(agent_drop_reason::unexpected_kind);
+        return;
+    }
+    const auto from = sessions.find(now, env, decoded->header, body, actions);
+    if (from) {
+        dispatch(now, *from, body, age, actions);
+    }
+}
+
+void agent_core::impl::dispatch(core::time_point now, const flow_address& from, wire::packet_bodyUnion& body,
+                                core::milliseconds age, action_list& actions)
+{
+    if (auto* request = body.Asrequest()) {
+        age_deadline(*request, age);
+        requests.on_request(now, from, *request, actions);
+    } else if (const auto* fetch = body.Asfetch()) {
+        requests.on_fetch(now, from, *fetch, actions);
+    } else if (const auto* cancel = body.Ascancel()) {
+        requests.on_cancel(now, from, *cancel, actions);
+    } else {
+        sessions.on_packet(now, from, body, actions);
+    }
+}
+
+bool agent_core::impl::adopt_service(config::snapshot_ptr value)
+{
+    const auto find_service = [this](const config::snapshot& source) -> const config::service* {
+        const auto it = std::find_if(source.services.begin(), source.services.end(),
+                                     [this](const auto& item) { return item.id == ctx.options.service; });
+        return it == source.services.end() ? nullptr : &*it;
+    };
+    const auto find_self = [this](const config::service& service) -> const config::host* {
+        const auto it = std::find_if(service.hosts.begin(), service.hosts.end(),
+                                     [this](const auto& item) { return item.id == ctx.options.host; });
+        return it == service.hosts.end() ? nullptr : &*it;
+    };
+    ctx.snapshot = std::move(value);
+    const auto* service = find_service(*ctx.snapshot);
+    const auto* self = service != nullptr ? find_self(*service) : nullptr;
+    if (self == nullptr && service_source != nullptr) {
+        // Removed: the last entry of this host stays in use until the drain has finished.
+        ctx.service = service != nullptr ? service : find_service(*service_source);
+        return false;
+    }
+    ctx.service = service;
+    ctx.self = self;
+    service_source = self != nullptr ? ctx.snapshot : nullptr;
+    return self != nullptr;
+}
+
+void agent_core::impl::update_peer_zones()
+{
+    for (auto& [id, peer] : ctx.peers) {
+        const core::host_id host = id;
+        if (ctx.service == nullptr) {
+            break;
+        }
+        const auto& hosts = ctx.service->hosts;
+        const auto it = std::find_if(hosts.begin(), hosts.end(), [host](const auto& item) { return item.id == host; });
+        if (it != hosts.end() && it->zone < ctx.snapshot->zones.size()) {
+            peer.zone = ctx.snapshot->zones[it->zone].name;
+        }
+    }
+}
+
+wire::load_reportT agent_core::impl::report() const
+{
+    wire::load_reportT result;
+    result.state = ctx.own.state;
+    result.free_slots = static_cast<std::uint32_t>(requests.free_slots());
+    result.queued = static_cast<std::uint32_t>(requests.queued());
+    result.held_flows = static_cast<std::uint32_t>(sessions.held());
+    result.held_feeds = static_cast<std::uint32_t>(sessions.subscribers());
+    return result;
+}
+
+void agent_core::impl::settle(core::time_point now, action_list& actions)
+{
+    status.update(now, {requests.is_target_failing(), requests.is_warm()});
+    reporter.update(now, ctx, report(), actions);
+    if (ctx.own.state != wire::agent_state::draining) {
+        drain_reported = false;
+        return;
+    }
+    if (drain_reported) {
+        return;
+    }
+    const auto elapsed = now - ctx.own.drain_started;
+    const bool left = elapsed >= detail::drain_accept_window && sessions.held() == 0 && requests.in_flight() == 0 &&
+                      requests.queued() == 0 && !requests.has_unacknowledged_results();
+    if (left || elapsed >= ctx.options.drain_timeout) {
+        drain_reported = true;
+        actions.emplace_back(drain_finished{});
+    }
+}
+
+agent_core::agent_core(agent_options options, core::random_source random, core::time_point now)
+    : m_impl(std::make_unique<impl>(std::move(options), random, now))
+{
+}
+
+agent_core::~agent_core() = default;
+
+void agent_core::on_datagram(core::time_point now, wire::bytes_view datagram, core::milliseconds age,
+                             action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    const auto* header = wire::header_of(datagram);
+    if (header == nullptr) {
+        m_impl->drop(agent_drop_reason::malformed);
+        return;
+    }
+    wire::envelope env;
+    std::memcpy(&env, datagram.data, sizeof env);
+    const core::milliseconds waited = age + core::milliseconds{env.age_ms()};
+    if (waited > stale_datagram_age && !core::is_active(core::fault::accept_stale_datagram)) {
+        m_impl->drop(agent_drop_reason::stale);
+        return;
+    }
+    switch (header->packet_class()) {
+    case wire::packet_class::open:
+        m_impl->on_open(now, env, datagram, actions);
+        break;
+    case wire::packet_class::established:
+        m_impl->on_established(now, env, datagram, waited, actions);
+        break;
+    default:
+        m_impl->drop(agent_drop_reason::unexpected_kind);
+        return;
+    }
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_peer_up(core::time_point now, core::host_id host, core::incarnation_id incarnation,
+                            action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    auto& peer = m_impl->ctx.peers[host];
+    if (peer.incarnation != incarnation) {
+        // The report belongs to the earlier incarnation.
+        peer.report = {};
+        peer.reported_at = {};
+    }
+    peer.host = host;
+    peer.link_up = true;
+    peer.incarnation = incarnation;
+    m_impl->update_peer_zones();
+    m_impl->requests.on_peer_up(now, host, incarnation, actions);
+    m_impl->reporter.force();
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_peer_down(core::time_point now, core::host_id host, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    const auto it = m_impl->ctx.peers.find(host);
+    if (it == m_impl->ctx.peers.end()) {
+        return;
+    }
+    it->second.link_up = false;
+    m_impl->requests.on_peer_down(now, host, actions);
+    m_impl->sessions.on_peer_down(now, host, actions);
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_peer_message(core::time_point now, core::host_id host, const wire::peer_messageT& message,
+                                 action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    const auto it = m_impl->ctx.peers.find(host);
+    if (it == m_impl->ctx.peers.end()) {
+        return;
+    }
+    if (const auto* report = message.body.Asload_report()) {
+        it->second.report = *report;
+        it->second.reported_at = now;
+    }
+    m_impl->requests.on_peer_message(now, host, message, actions);
+    m_impl->sessions.on_peer_message(now, host, message, actions);
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_exchange_result(core::time_point now, exchange_id id, exchange_result result, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    m_impl->requests.on_exchange_result(now, id, std::move(result), actions);
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_feed_event(core::time_point now, feed_connection_id id, core::event_id event,
+                               std::vector<std::uint8_t> data, action_list& actions)
+{
+    m_impl->sessions.on_feed_event(now, id, event, std::move(data), actions);
+}
+
+void agent_core::on_feed_activity(core::time_point now, feed_connection_id id)
+{
+    m_impl->sessions.on_feed_activity(now, id);
+}
+
+void agent_core::on_feed_closed(core::time_point now, feed_connection_id id, action_list& actions)
+{
+    m_impl->sessions.on_feed_closed(now, id, actions);
+}
+
+void agent_core::on_configuration(core::time_point now, config::snapshot_ptr value, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    auto& ctx = m_impl->ctx;
+    const bool older = value == nullptr || value->version < ctx.version();
+    if (value == nullptr || (older && !core::is_active(core::fault::accept_older_version))) {
+        return;
+    }
+    ctx.sealer = std::make_unique<wire::token_sealer>(value->keys);
+    const bool listed_before = m_impl->service_source != nullptr;
+    const bool listed = m_impl->adopt_service(std::move(value));
+    m_impl->update_peer_zones();
+    const bool removed = listed_before && !listed;
+    m_impl->status.on_configuration(now, removed || (ctx.self != nullptr && ctx.self->draining));
+    m_impl->requests.on_tick(now, actions);
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_fleet_view(core::time_point now, const config::fleet_view_ptr& value, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    if (value != nullptr) {
+        m_impl->status.on_fleet_view(now, *value);
+        m_impl->settle(now, actions);
+    }
+}
+
+void agent_core::on_configuration_confirmed(core::time_point now, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    m_impl->status.on_confirmed();
+    m_impl->requests.on_tick(now, actions);
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_drain(core::time_point now, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    m_impl->status.drain(now);
+    m_impl->settle(now, actions);
+}
+
+void agent_core::on_tick(core::time_point now, action_list& actions)
+{
+    m_impl->note_time(now, actions);
+    m_impl->requests.on_tick(now, actions);
+    m_impl->sessions.on_tick(now, actions);
+    m_impl->settle(now, actions);
+}
+
+const agent_counters& agent_core::counters() const noexcept
+{
+    auto& result = m_impl->count;
+    const auto& work_count = m_impl->requests.count();
+    const auto& flow_count = m_impl->sessions.count();
+    result.opens_answered = flow_count.opens_answered;
+    result.opens_passed_on = flow_count.opens_passed_on;
+    result.requests_accepted = work_count.accepted;
+    result.requests_refused_not_run = work_count.refused_not_run;
+    result.requests_unknown = work_count.unknown;
+    result.handed_to_peers = work_count.handed_to_peers;
+    result.taken_from_peers = work_count.taken_from_peers;
+    result.flows_gone = flow_count.flows_gone + m_impl->foreign_tokens;
+    result.flows_moved = flow_count.flows_moved;
+    result.events_sent = flow_count.events_sent;
+    return result;
+}
+
+agent_gauges agent_core::gauges() const
+{
+    return {m_impl->sessions.held(),      m_impl->sessions.subscribers(), m_impl->requests.queued(),
+            m_impl->requests.in_flight(), m_impl->requests.limit(),       m_impl->requests.records()};
+}
+
+const agent_context& agent_core::context() const noexcept { return m_impl->ctx; }
+
+} // namespace daisydoor::agent
