--- /dev/null
+++ b/include/daisydoor/caller/detail/feed_receiver.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "daisydoor/caller/detail/flow_link.hpp"
+
+#include <map>
+#include <string>
+
+namespace daisydoor::caller::detail
+{
+
+/// @brief Position in the feed: delivers events in order without gap or repeat, from whichever flow they arrive on.
+class feed_receiver
+{
+  public:
+    void subscribe(core::time_point now, std::string path, core::event_id last_event);
+    [[nodiscard]] bool is_subscribed() const noexcept { return !m_path.empty(); }
+    [[nodiscard]] core::event_id last_event() const noexcept { return m_last; }
+    /// @brief Subscribes on a new flow from the last delivered event.
+    void restart(core::time_point now);
+    /// @brief Repeats the subscription on the current flow until it is confirmed there.
+    void resubscribe(core::time_point now)
+    {
+        m_confirmed = false;
+        m_subscribe_timer.start(now);
+    }
+    /// @brief The flow has confirmed the subscription.
+    void on_subscribed() noexcept { m_confirmed = true; }
+    void send_subscribe(const wire::flow_token& token, session_actions& actions) const;
+    void on_event(core::time_point now, const flow_link& link, const wire::eventT& body, session_actions& actions);
+    /// @brief Acknowledges what arrived, repeats the subscription, and asks again after a gap.
+    void on_tick(core::time_point now, const flow_link* current, session_actions& actions);
+    /// @brief The flow is about to be dropped.
+    void forget(const flow_link& link) { m_acknowledge_on.erase(&link); }
+
+  private:
+    struct held_event
+    {
+        std::uint64_t previous = 0;
+        std::vector<std::uint8_t> data;
+    };
+
+    [[nodiscard]] bool is_next(std::uint64_t previous) const noexcept;
+    void deliver(std::uint64_t id, std::vector<std::uint8_t> data, session_actions& actions);
+    void deliver_held(session_actions& actions);
+
+    std::string m_path;
+    core::event_id m_last{};
+    bool m_confirmed = false;
+    retransmit_timer m_subscribe_timer;
+    /// Events behind a gap, by id.
+    std::map<std::uint64_t, held_event> m_held;
+    bool m_gap = false;
+    core::time_point m_gap_since{};
+    retransmit_timer m_gap_timer;
+    std::map<const flow_link*, wire::flow_token> m_acknowledge_on;
+};
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/include/daisydoor/caller/detail/flow_opener.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "daisydoor/caller/detail/flow_link.hpp"
+
+#include <optional>
+
+namespace daisydoor::caller::detail
+{
+
+/// @brief Opens a flow: one random flow hash, attempts 0, 1, 2, ... that reach agents of increasing rank.
+class flow_opener
+{
+  public:
+    /// @param keep_trying whether to start over with a new hash after `timeout`, as a resume does
+    void start(core::time_point now, core::random_source& random, core::milliseconds timeout, bool keep_trying);
+    void stop() noexcept { m_active = false; }
+    [[nodiscard]] bool is_active() const noexcept { return m_active; }
+    /// @brief Retransmits the open. Returns the failure when the open timeout has passed.
+    std::optional<open_failed> on_tick(core::time_point now, core::random_source& random, core::tenant_id tenant,
+                                       session_actions& actions);
+    /// @brief Whether the packet answers the last open, which may be finished already.
+    [[nodiscard]] bool is_answer(const wire::packet_header& header) const noexcept
+    {
+        return m_flow_hash != 0 && header.flow_hash() == m_flow_hash;
+    }
+    void on_refusal(const wire::refusalT& body) noexcept;
+
+  private:
+    bool m_active = false;
+    bool m_keep_trying = false;
+    std::uint64_t m_flow_hash = 0;
+    unsigned m_attempt = 0;
+    core::milliseconds m_timeout{0};
+    core::time_point m_started{};
+    retransmit_timer m_timer;
+    open_failed m_last_refusal;
+};
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/include/daisydoor/caller/detail/path_monitor.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "daisydoor/caller/detail/flow_link.hpp"
+
+namespace daisydoor::caller::detail
+{
+
+/// @brief Sends keepalives and decides when a path is silent: a fresh socket first, then a new flow.
+class path_monitor
+{
+  public:
+    enum class verdict
+    {
+        usable,
+        /// Misses on the old socket: the same token is tried over a fresh one.
+        replace_socket,
+        /// Misses on the fresh socket too: the flow's agent is out of reach.
+        lost,
+    };
+
+    /// @brief Starts over for a new flow.
+    void restart(core::time_point now) noexcept;
+    void set_interval(core::milliseconds value) noexcept;
+    /// @brief Sends the next keepalive early, when something else suggests that the path is silent.
+    void probe(core::time_point now) noexcept;
+    verdict on_tick(core::time_point now, const flow_link& link, core::event_id last_event, session_actions& actions);
+    void on_ack(core::time_point now, std::uint32_t sequence) noexcept;
+
+    /// A third of the 30 s after which middleboxes commonly forget UDP flows.
+    static constexpr core::milliseconds default_interval{10000};
+    static constexpr core::milliseconds miss_timeout{500};
+    /// One lost packet must not cause a resume.
+    static constexpr unsigned miss_limit = 3;
+
+  private:
+    void send(core::time_point now, const flow_link& link, core::event_id last_event, session_actions& actions);
+
+    core::milliseconds m_interval = default_interval;
+    core::time_point m_next{};
+    core::time_point m_sent{};
+    std::uint32_t m_sequence = 0;
+    bool m_awaiting = false;
+    bool m_fresh_socket = false;
+    unsigned m_misses = 0;
+};
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/include/daisydoor/caller/detail/request_tracker.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "daisydoor/caller/detail/answer_assembly.hpp"
+#include "daisydoor/caller/detail/flow_link.hpp"
+#include "daisydoor/caller/detail/retry_budget.hpp"
+
+#include <map>
+
+namespace daisydoor::caller::detail
+{
+
+/// @brief Requests of a session until their one outcome: transmission, assembly of answers, deadlines and repeats.
+///
+/// A request gets a number on a flow when it is first sent there, and is retransmitted only under that flow and
+/// number. Only an idempotent request can be assigned to another flow.
+class request_tracker
+{
+  public:
+    core::request_number add(core::time_point now, wire::request_kind kind, std::string path,
+                             std::vector<std::uint8_t> payload, core::milliseconds deadline, session_actions& actions);
+    void cancel(core::time_point now, core::request_number number, session_actions& actions);
+    void on_answer(core::time_point now, flow_link& link, const wire::answerT& body, session_actions& actions);
+    void on_refusal(core::time_point now, flow_link& link, const wire::refusalT& body, session_actions& actions);
+    /// @brief The flow's records are lost: postings become `unknown`, idempotent requests wait for the next flow.
+    void on_flow_gone(core::time_point now, flow_link& link, session_actions& actions);
+    /// @brief The flow is silent: idempotent requests wait for the next flow, postings stay with their number.
+    void on_flow_silent(core::time_point now, flow_link& link);
+    /// @brief Sends what is due on its flow; unsent requests go to `current`, which may be nullptr.
+    void on_tick(core::time_point now, flow_link* current, session_actions& actions);
+    /// @brief Ends all requests: `not_run` for those never sent, `unknown` for the others.
+    void close(session_actions& actions);
+    /// @brief Whether a request on the flow has been sent several times without any reply.
+    [[nodiscard]] bool is_unanswered(const flow_link& link) const;
+
+  private:
+    struct tracked_request
+    {
+        wire::request_kind kind = wire::request_kind::idempotent;
+        std::string path;
+        std::vector<std::uint8_t> payload;
+        core::time_point deadline{};
+        /// Flow and number that the request runs under; nullptr while it waits for a flow.
+        flow_link* link = nullptr;
+        std::uint64_t link_number = 0;
+        bool ever_sent = false;
+        /// Sent on an earlier flow that gave no outcome; the current flow can then no longer prove `not_run`.
+        bool unresolved_elsewhere = false;
+        bool cancelling = false;
+        unsigned sends = 0;
+        retransmit_timer timer;
+        answer_assembly assembly;
+    };
+    using request_map = std::map<core::request_number, tracked_request>;
+
+    request_map::iterator find(const flow_link& link, std::uint64_t link_number);
+    void detach(tracked_request& request);
+    void refuse(request_map::iterator it, wire::refusal_kind kind, wire::refusal_reason reason,
+                core::milliseconds retry_after, session_actions& actions);
+    bool repeat(core::time_point now, tracked_request& request);
+    static void transmit(core::time_point now, tracked_request& request, session_actions& actions);
+    static void assign(core::time_point now, core::request_number number, tracked_request& request, flow_link& link);
+    bool expire(core::time_point now, request_map::iterator it, session_actions& actions);
+
+    request_map m_requests;
+    std::uint64_t m_last_number = 0;
+    retry_budget m_budget;
+};
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/include/daisydoor/caller/detail/retry_budget.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "daisydoor/core/time.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::caller::detail
+{
+
+/// @brief Bounds repeats of idempotent requests to 10% of the requests, with a small minimum.
+///
+/// Without the minimum, a caller with few requests could never repeat one. The minimum is refilled slowly.
+class retry_budget
+{
+  public:
+    void on_request() noexcept { m_credit = std::min(m_credit + share, maximum); }
+    /// @brief Takes one repeat from the budget, if there is one.
+    bool take(core::time_point now) noexcept
+    {
+        refill(now);
+        if (m_credit < 1.0) {
+            return false;
+        }
+        m_credit -= 1.0;
+        return true;
+    }
+
+  private:
+    void refill(core::time_point now) noexcept
+    {
+        if (now - m_refilled >= refill_interval && m_credit < minimum) {
+            m_credit = std::min(m_credit + 1.0, minimum);
+            m_refilled = now;
+        }
+    }
+
+    static constexpr double share = 0.1;
+    static constexpr double minimum = 3.0;
+    static constexpr double maximum = 10.0;
+    static constexpr core::milliseconds refill_interval{10000};
+
+    double m_credit = minimum;
+    core::time_point m_refilled{};
+};
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/src/caller/feed_receiver.cpp
@@ -0,0 +1,119 @@
+#include "daisydoor/caller/detail/feed_receiver.hpp"
+
+#include "daisydoor/core/fault.hpp"
+
+namespace daisydoor::caller::detail
+{
+
+namespace
+{
+
+/// Events behind a gap that are kept until the missing ones arrive.
+constexpr std::size_t max_held_events = 64;
+/// Packet spraying reorders datagrams by a few milliseconds; only a longer gap is a loss.
+constexpr core::milliseconds reorder_tolerance{30};
+
+} // namespace
+
+void feed_receiver::subscribe(core::time_point now, std::string path, core::event_id last_event)
+{
+    m_path = std::move(path);
+    m_last = last_event;
+    restart(now);
+}
+
+void feed_receiver::restart(core::time_point now)
+{
+    m_held.clear();
+    m_gap = false;
+    resubscribe(now);
+}
+
+void feed_receiver::send_subscribe(const wire::flow_token& token, session_actions& actions) const
+{
+    wire::subscribeT body;
+    body.path = m_path;
+    body.last_event = core::raw(m_last);
+    send_on(token, std::move(body), actions);
+}
+
+bool feed_receiver::is_next(std::uint64_t previous) const noexcept
+{
+    // Previous 0 marks the first event of a subscription without a position. Any other event claims that none lies
+    // between its previous one and itself, so that a previous one before the position leaves no gap.
+    const auto last = core::raw(m_last);
+    return previous == last || (previous != 0 && previous < last) || core::is_active(core::fault::skip_gap_check);
+}
+
+void feed_receiver::deliver(std::uint64_t id, std::vector<std::uint8_t> data, session_actions& actions)
+{
+    m_last = core::event_id{id};
+    actions.push_back(feed_event{m_last, std::move(data)});
+}
+
+void feed_receiver::deliver_held(session_actions& actions)
+{
+    while (!m_held.empty()) {
+        const auto it = m_held.begin();
+        if (it->first > core::raw(m_last)) {
+            if (!is_next(it->second.previous)) {
+                return;
+            }
+            deliver(it->first, std::move(it->second.data), actions);
+        }
+        m_held.erase(it);
+    }
+}
+
+void feed_receiver::on_event(core::time_point now, const flow_link& link, const wire::eventT& body,
+                             session_actions& actions)
+{
+    if (!is_subscribed() || body.id == 0) {
+        return;
+    }
+    m_acknowledge_on[&link] = link.token;
+    if (body.id <= core::raw(m_last)) {
+        if (core::is_active(core::fault::deliver_repeated_event)) {
+            actions.push_back(feed_event{core::event_id{body.id}, body.data});
+        }
+        return;
+    }
+    if (is_next(body.previous)) {
+        deliver(body.id, body.data, actions);
+        deliver_held(actions);
+        m_gap = !m_held.empty();
+        m_gap_since = now;
+        m_gap_timer.start(now);
+        return;
+    }
+    if (m_held.size() < max_held_events) {
+        m_held[body.id] = {body.previous, body.data};
+    }
+    if (!m_gap) {
+        m_gap = true;
+        m_gap_since = now;
+        m_gap_timer.start(now);
+    }
+}
+
+void feed_receiver::on_tick(core::time_point now, const flow_link* current, session_actions& actions)
+{
+    for (const auto& [link, token] : m_acknowledge_on) {
+        wire::feed_ackT body;
+        body.last_event = core::raw(m_last);
+        send_on(token, body, actions);
+    }
+    m_acknowledge_on.clear();
+    if (current == nullptr || !is_subscribed()) {
+        return;
+    }
+    if (!m_confirmed && m_subscribe_timer.is_due(now)) {
+        m_subscribe_timer.advance(now);
+        send_subscribe(current->token, actions);
+    } else if (m_gap && now - m_gap_since >= reorder_tolerance && m_gap_timer.is_due(now)) {
+        m_gap_timer.advance(now);
+        send_subscribe(current->token, actions);
+    }
+}
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/src/caller/path_monitor.cpp
@@ -0,0 +1,77 @@
+#include "daisydoor/caller/detail/path_monitor.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::caller::detail
+{
+
+void path_monitor::restart(core::time_point now) noexcept
+{
+    m_next = now + m_interval;
+    m_awaiting = false;
+    m_fresh_socket = false;
+    m_misses = 0;
+}
+
+void path_monitor::set_interval(core::milliseconds value) noexcept
+{
+    constexpr core::milliseconds shortest{1000};
+    m_interval =
+        value.count() > 0 ? std::clamp(value, shortest, core::milliseconds(default_interval)) : default_interval;
+}
+
+void path_monitor::probe(core::time_point now) noexcept
+{
+    if (!m_awaiting) {
+        m_next = std::min(m_next, now);
+    }
+}
+
+void path_monitor::send(core::time_point now, const flow_link& link, core::event_id last_event,
+                        session_actions& actions)
+{
+    wire::keepaliveT body;
+    body.sequence = ++m_sequence;
+    body.last_event = core::raw(last_event);
+    body.acknowledged = link.acknowledged();
+    m_sent = now;
+    m_awaiting = true;
+    send_on(link.token, body, actions);
+}
+
+path_monitor::verdict path_monitor::on_tick(core::time_point now, const flow_link& link, core::event_id last_event,
+                                            session_actions& actions)
+{
+    if (!m_awaiting) {
+        if (now >= m_next) {
+            m_misses = 0;
+            send(now, link, last_event, actions);
+        }
+        return verdict::usable;
+    }
+    if (now - m_sent < miss_timeout) {
+        return verdict::usable;
+    }
+    if (++m_misses < miss_limit) {
+        send(now, link, last_event, actions);
+        return verdict::usable;
+    }
+    if (m_fresh_socket) {
+        return verdict::lost;
+    }
+    m_fresh_socket = true;
+    m_misses = 0;
+    actions.push_back(replace_socket{});
+    send(now, link, last_event, actions);
+    return verdict::replace_socket;
+}
+
+void path_monitor::on_ack(core::time_point now, std::uint32_t sequence) noexcept
+{
+    // Sequence 0 confirms a subscription, which proves as much about the path.
+    if (sequence <= m_sequence) {
+        restart(now);
+    }
+}
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/src/caller/request_tracker.cpp
@@ -0,0 +1,266 @@
+#include "daisydoor/caller/detail/request_tracker.hpp"
+
+#include "daisydoor/core/fault.hpp"
+
+#include <limits>
+
+namespace daisydoor::caller::detail
+{
+
+namespace
+{
+
+/// The agent's own refusal at the deadline proves more than the caller can, so the caller waits a little for it.
+constexpr core::milliseconds deadline_grace{50};
+constexpr std::size_t max_fetched_segments = 64;
+constexpr unsigned unanswered_sends = 4;
+
+wire::requestT to_wire(wire::request_kind kind, const std::string& path, const std::vector<std::uint8_t>& payload)
+{
+    wire::requestT body;
+    body.kind = kind;
+    body.path = path;
+    body.payload = payload;
+    return body;
+}
+
+bool fits_in_packet(const wire::requestT& request)
+{
+    // FlatBuffers leaves out zero fields, so that the size is taken with all fields set.
+    wire::requestT body = request;
+    body.number = body.acknowledged = std::numeric_limits<std::uint64_t>::max();
+    body.deadline_ms = std::numeric_limits<std::uint32_t>::max();
+    return wire::encode_packet({}, wire::make_packet(std::move(body))).size() <= wire::max_packet_size;
+}
+
+/// Whether a repeat can help: the flow, the target or the peer failed, not the request itself.
+bool is_repeatable(wire::refusal_reason reason)
+{
+    return reason == wire::refusal_reason::flow_gone || reason == wire::refusal_reason::target_failed ||
+           reason == wire::refusal_reason::peer_lost;
+}
+
+} // namespace
+
+core::request_number request_tracker::add(core::time_point now, wire::request_kind kind, std::string path,
+                                          std::vector<std::uint8_t> payload, core::milliseconds deadline,
+                                          session_actions& actions)
+{
+    const core::request_number number{++m_last_number};
+    tracked_request request;
+    request.kind = kind;
+    request.path = std::move(path);
+    request.payload = std::move(payload);
+    request.deadline = now + deadline;
+    const bool fits = fits_in_packet(to_wire(kind, request.path, request.payload));
+    const auto it = m_requests.emplace(number, std::move(request)).first;
+    m_budget.on_request();
+    if (!fits) {
+        refuse(it, wire::refusal_kind::not_run, wire::refusal_reason::too_large, core::milliseconds{0}, actions);
+    }
+    return number;
+}
+
+void request_tracker::cancel(core::time_point now, core::request_number number, session_actions& actions)
+{
+    const auto it = m_requests.find(number);
+    if (it == m_requests.end() || it->second.cancelling) {
+        return;
+    }
+    if (it->second.link == nullptr) {
+        const auto kind = it->second.ever_sent ? wire::refusal_kind::unknown : wire::refusal_kind::not_run;
+        refuse(it, kind, wire::refusal_reason::cancelled, core::milliseconds{0}, actions);
+        return;
+    }
+    it->second.cancelling = true;
+    it->second.timer.start(now);
+    transmit(now, it->second, actions);
+}
+
+request_tracker::request_map::iterator request_tracker::find(const flow_link& link, std::uint64_t link_number)
+{
+    const auto it = link.outstanding.find(link_number);
+    return it != link.outstanding.end() ? m_requests.find(it->second) : m_requests.end();
+}
+
+void request_tracker::detach(tracked_request& request)
+{
+    if (request.link != nullptr) {
+        request.link->outstanding.erase(request.link_number);
+        request.link = nullptr;
+        request.link_number = 0;
+    }
+    request.assembly = {};
+    request.sends = 0;
+}
+
+void request_tracker::refuse(request_map::iterator it, wire::refusal_kind kind, wire::refusal_reason reason,
+                             core::milliseconds retry_after, session_actions& actions)
+{
+    detach(it->second);
+    actions.push_back(refused{it->first, kind, reason, retry_after});
+    m_requests.erase(it);
+}
+
+void request_tracker::on_answer(core::time_point now, flow_link& link, const wire::answerT& body,
+                                session_actions& actions)
+{
+    const auto it = find(link, body.number);
+    if (it == m_requests.end()) {
+        return;
+    }
+    auto& request = it->second;
+    const bool first = !request.assembly.is_started();
+    if (!request.assembly.add(body)) {
+        return;
+    }
+    if (!request.assembly.is_complete()) {
+        // The segments of one answer arrive together; after a pause the missing ones are fetched.
+        if (first) {
+            request.timer.start_later(now);
+        }
+        return;
+    }
+    answered outcome{it->first, request.assembly.status(), {}};
+    if (request.assembly.take(outcome.payload)) {
+        detach(request);
+        actions.push_back(std::move(outcome));
+        m_requests.erase(it);
+    }
+}
+
+void request_tracker::on_refusal(core::time_point now, flow_link& link, const wire::refusalT& body,
+                                 session_actions& actions)
+{
+    const auto it = find(link, body.number);
+    if (it == m_requests.end()) {
+        return;
+    }
+    if (body.kind == wire::refusal_kind::unknown && is_repeatable(body.reason) && repeat(now, it->second)) {
+        return;
+    }
+    const auto kind = it->second.unresolved_elsewhere ? wire::refusal_kind::unknown : body.kind;
+    refuse(it, kind, body.reason, core::milliseconds{body.retry_after_ms}, actions);
+}
+
+bool request_tracker::repeat(core::time_point now, tracked_request& request)
+{
+    const bool repeatable =
+        request.kind == wire::request_kind::idempotent || core::is_active(core::fault::retry_posting);
+    if (!repeatable || request.cancelling || now >= request.deadline || !m_budget.take(now)) {
+        return false;
+    }
+    request.unresolved_elsewhere = true;
+    detach(request);
+    return true;
+}
+
+void request_tracker::on_flow_gone(core::time_point now, flow_link& link, session_actions& actions)
+{
+    const auto lost = link.outstanding;
+    for (const auto& [link_number, number] : lost) {
+        const auto it = m_requests.find(number);
+        if (it != m_requests.end() && !repeat(now, it->second)) {
+            refuse(it, wire::refusal_kind::unknown, wire::refusal_reason::flow_gone, core::milliseconds{0}, actions);
+        }
+    }
+}
+
+void request_tracker::on_flow_silent(core::time_point now, flow_link& link)
+{
+    const auto waiting = link.outstanding;
+    for (const auto& [link_number, number] : waiting) {
+        if (const auto it = m_requests.find(number); it != m_requests.end()) {
+            repeat(now, it->second);
+        }
+    }
+}
+
+void request_tracker::assign(core::time_point now, core::request_number number, tracked_request& request,
+                             flow_link& link)
+{
+    request.link = &link;
+    request.link_number = link.next_number++;
+    link.outstanding.emplace(request.link_number, number);
+    request.timer.start(now);
+}
+
+void request_tracker::transmit(core::time_point now, tracked_request& request, session_actions& actions)
+{
+    const auto& link = *request.link;
+    request.timer.advance(now);
+    if (request.cancelling) {
+        wire::cancelT body;
+        body.number = request.link_number;
+        send_on(link.token, body, actions);
+        return;
+    }
+    if (request.assembly.is_started()) {
+        wire::fetchT body;
+        body.number = request.link_number;
+        body.segments = request.assembly.missing(max_fetched_segments);
+        send_on(link.token, std::move(body), actions);
+        return;
+    }
+    auto body = to_wire(request.kind, request.path, request.payload);
+    body.number = request.link_number;
+    body.acknowledged = link.acknowledged();
+    const auto left = std::chrono::duration_cast<core::milliseconds>(request.deadline - now);
+    body.deadline_ms = static_cast<std::uint32_t>(std::max<core::milliseconds::rep>(left.count(), 1));
+    request.ever_sent = true;
+    ++request.sends;
+    send_on(link.token, std::move(body), actions);
+}
+
+bool request_tracker::expire(core::time_point now, request_map::iterator it, session_actions& actions)
+{
+    const auto& request = it->second;
+    const auto grace = request.link != nullptr ? deadline_grace : core::milliseconds{0};
+    if (now < request.deadline + grace) {
+        return false;
+    }
+    const auto kind = request.ever_sent ? wire::refusal_kind::unknown : wire::refusal_kind::not_run;
+    refuse(it, kind, wire::refusal_reason::deadline, core::milliseconds{0}, actions);
+    return true;
+}
+
+void request_tracker::on_tick(core::time_point now, flow_link* current, session_actions& actions)
+{
+    for (auto it = m_requests.begin(); it != m_requests.end();) {
+        const auto next = std::next(it);
+        auto& request = it->second;
+        if (expire(now, it, actions)) {
+            it = next;
+            continue;
+        }
+        if (request.link == nullptr && current != nullptr && current->has_free_number()) {
+            assign(now, it->first, request, *current);
+        }
+        if (request.link != nullptr && request.timer.is_due(now) && now < request.deadline) {
+            transmit(now, request, actions);
+        }
+        it = next;
+    }
+}
+
+void request_tracker::close(session_actions& actions)
+{
+    while (!m_requests.empty()) {
+        const auto it = m_requests.begin();
+        const auto kind = it->second.ever_sent ? wire::refusal_kind::unknown : wire::refusal_kind::not_run;
+        refuse(it, kind, wire::refusal_reason::cancelled, core::milliseconds{0}, actions);
+    }
+}
+
+bool request_tracker::is_unanswered(const flow_link& link) const
+{
+    for (const auto& [link_number, number] : link.outstanding) {
+        const auto it = m_requests.find(number);
+        if (it != m_requests.end() && it->second.sends >= unanswered_sends && !it->second.assembly.is_started()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace daisydoor::caller::detail
--- /dev/null
+++ b/src/caller/session_state.cpp
@@ -0,0 +1,306 @@
+#include "daisydoor/caller/detail/session_state.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::caller::detail
+{
+
+namespace
+{
+
+/// A candidate that does not answer within this time is dropped; the old agent then offers a flow again.
+constexpr core::milliseconds candidate_timeout{3000};
+/// Closes are repeated, since an unclosed flow stays with its agent until the idle timeout.
+constexpr unsigned max_closes = 5;
+
+} // namespace
+
+void session_state::open(core::time_point now, session_actions& actions)
+{
+    if (m_current || m_opener.is_active()) {
+        return;
+    }
+    m_closed = false;
+    m_opener.start(now, m_random, m_options.open_timeout, false);
+    on_tick(now, actions);
+}
+
+core::request_number session_state::add(core::time_point now, wire::request_kind kind, std::string path,
+                                        std::vector<std::uint8_t> payload, core::milliseconds deadline,
+                                        session_actions& actions)
+{
+    const auto number = m_requests.add(now, kind, std::move(path), std::move(payload), deadline, actions);
+    if (m_closed) {
+        m_requests.close(actions);
+    }
+    m_requests.on_tick(now, m_current.get(), actions);
+    return number;
+}
+
+void session_state::cancel(core::time_point now, core::request_number number, session_actions& actions)
+{
+    m_requests.cancel(now, number, actions);
+}
+
+void session_state::subscribe(core::time_point now, std::string path, core::event_id last_event,
+                              session_actions& actions)
+{
+    m_feed.subscribe(now, std::move(path), last_event);
+    m_feed.on_tick(now, m_current.get(), actions);
+}
+
+void session_state::close(core::time_point now, session_actions& actions)
+{
+    m_closed = true;
+    m_opener.stop();
+    m_candidate.reset();
+    m_requests.close(actions);
+    if (m_current) {
+        retire_current(now, false);
+    }
+    for (auto& it : m_retired) {
+        it.close_timer.start(now);
+    }
+    tick_retired(now, actions);
+}
+
+flow_link* session_state::find(const wire::flow_token& token)
+{
+    if (m_current && names_same_flow(m_current->token, token)) {
+        return m_current.get();
+    }
+    if (m_candidate && names_same_flow(m_candidate->token, token)) {
+        return m_candidate.get();
+    }
+    const auto it = std::find_if(m_retired.begin(), m_retired.end(), [&token](const retired_link& retired) {
+        return names_same_flow(retired.link->token, token);
+    });
+    return it != m_retired.end() ? it->link.get() : nullptr;
+}
+
+void session_state::on_packet(core::time_point now, wire::bytes_view bytes, session_actions& actions)
+{
+    const auto decoded = wire::decode_packet(bytes);
+    if (!decoded || decoded->header.packet_class() != wire::packet_class::reply) {
+        return;
+    }
+    const auto& body = decoded->packet.body;
+    const bool opens = body.Asopen_reply() != nullptr || body.Asrefusal() != nullptr;
+    if (opens && m_opener.is_answer(decoded->header)) {
+        on_open_answer(now, body, actions);
+        return;
+    }
+    if (auto* link = find(decoded->header.token())) {
+        on_flow_packet(now, *link, body, actions);
+    }
+}
+
+void session_state::set_current(core::time_point now, std::unique_ptr<flow_link> link)
+{
+    m_current = std::move(link);
+    m_token = m_current->token;
+    m_path.restart(now);
+    m_feed.resubscribe(now);
+}
+
+void session_state::on_open_answer(core::time_point now, const wire::packet_bodyUnion& body, session_actions& actions)
+{
+    if (const auto* refusal = body.Asrefusal()) {
+        m_opener.on_refusal(*refusal);
+        return;
+    }
+    const auto& reply = *body.Asopen_reply();
+    if (!reply.token) {
+        return;
+    }
+    if (m_opener.is_active()) {
+        m_opener.stop();
+        m_path.set_interval(core::milliseconds{reply.keepalive_ms});
+        auto link = std::make_unique<flow_link>();
+        link->token = *reply.token;
+        set_current(now, std::move(link));
+        actions.push_back(opened{});
+        m_requests.on_tick(now, m_current.get(), actions);
+    } else if (find(*reply.token) == nullptr) {
+        // A retransmitted open was answered twice; the second flow is not used.
+        send_on(*reply.token, wire::closeT{}, actions);
+    }
+}
+
+void session_state::on_flow_packet(core::time_point now, flow_link& link, const wire::packet_bodyUnion& body,
+                                   session_actions& actions)
+{
+    if (body.Asflow_gone() != nullptr) {
+        on_flow_gone(now, link, actions);
+        return;
+    }
+    if (&link == m_candidate.get()) {
+        adopt_candidate(now, actions);
+    }
+    if (const auto* answer = body.Asanswer()) {
+        m_requests.on_answer(now, link, *answer, actions);
+    } else if (const auto* refusal = body.Asrefusal()) {
+        m_requests.on_refusal(now, link, *refusal, actions);
+    } else if (const auto* event = body.Asevent()) {
+        m_feed.on_event(now, link, *event, actions);
+    } else if (const auto* ack = body.Askeepalive_ack()) {
+        on_keepalive_ack(now, link, *ack);
+    } else if (const auto* move = body.Asmove()) {
+        on_move(now, link, *move, actions);
+    }
+}
+
+void session_state::on_keepalive_ack(core::time_point now, flow_link& link, const wire::keepalive_ackT& body)
+{
+    if (body.token && names_same_flow(*body.token, link.token) && body.token->issued_s() >= link.token.issued_s()) {
+        link.token = *body.token;
+    }
+    if (&link == m_current.get()) {
+        m_token = link.token;
+        m_path.on_ack(now, body.sequence);
+        if (body.sequence == 0) {
+            m_feed.on_subscribed();
+        }
+    }
+}
+
+void session_state::confirm_move(const flow_link& old, session_actions& actions) const
+{
+    wire::move_confirmT body;
+    body.new_flow_event = core::raw(m_feed.last_event());
+    send_on(old.token, body, actions);
+}
+
+void session_state::on_move(core::time_point now, flow_link& link, const wire::moveT& body, session_actions& actions)
+{
+    if (&link != m_current.get()) {
+        const auto it = std::find_if(m_retired.begin(), m_retired.end(),
+                                     [&link](const retired_link& retired) { return retired.link.get() == &link; });
+        if (it != m_retired.end() && it->moved) {
+            confirm_move(link, actions);
+        }
+        return;
+    }
+    if (!body.token || names_same_flow(*body.token, link.token) ||
+        (m_candidate && names_same_flow(*body.token, m_candidate->token))) {
+        return;
+    }
+    m_candidate = std::make_unique<flow_link>();
+    m_candidate->token = *body.token;
+    m_candidate_since = now;
+    m_candidate_timer.start(now);
+    tick_candidate(now, actions);
+}
+
+void session_state::adopt_candidate(core::time_point now, session_actions& actions)
+{
+    retire_current(now, true);
+    set_current(now, std::move(m_candidate));
+    confirm_move(*m_retired.back().link, actions);
+}
+
+void session_state::retire_current(core::time_point now, bool moved)
+{
+    retired_link retired;
+    retired.link = std::move(m_current);
+    retired.moved = moved;
+    retired.close_timer.start_later(now);
+    m_retired.push_back(std::move(retired));
+}
+
+void session_state::on_flow_gone(core::time_point now, flow_link& link, session_actions& actions)
+{
+    if (&link == m_candidate.get()) {
+        m_candidate.reset();
+        return;
+    }
+    m_requests.on_flow_gone(now, link, actions);
+    m_feed.forget(link);
+    if (&link != m_current.get()) {
+        m_retired.remove_if([&link](const retired_link& retired) { return retired.link.get() == &link; });
+        return;
+    }
+    m_current.reset();
+    if (m_candidate) {
+        // The agent left before the move was confirmed; the flow that it offered is the best known one.
+        set_current(now, std::move(m_candidate));
+        m_path.probe(now);
+        return;
+    }
+    reopen(now, actions);
+}
+
+void session_state::reopen(core::time_point now, session_actions& actions)
+{
+    m_opener.start(now, m_random, m_options.open_timeout, true);
+    m_opener.on_tick(now, m_random, m_options.tenant, actions);
+}
+
+void session_state::tick_candidate(core::time_point now, session_actions& actions)
+{
+    if (!m_candidate) {
+        return;
+    }
+    if (now - m_candidate_since >= candidate_timeout) {
+        m_candidate.reset();
+        return;
+    }
+    if (!m_candidate_timer.is_due(now)) {
+        return;
+    }
+    m_candidate_timer.advance(now);
+    if (m_feed.is_subscribed()) {
+        m_feed.send_subscribe(m_candidate->token, actions);
+    } else {
+        send_on(m_candidate->token, wire::keepaliveT{}, actions);
+    }
+}
+
+void session_state::tick_path(core::time_point now, session_actions& actions)
+{
+    if (!m_current) {
+        return;
+    }
+    if (m_requests.is_unanswered(*m_current)) {
+        m_path.probe(now);
+    }
+    if (m_path.on_tick(now, *m_current, m_feed.last_event(), actions) != path_monitor::verdict::lost) {
+        return;
+    }
+    m_requests.on_flow_silent(now, *m_current);
+    m_candidate.reset();
+    retire_current(now, false);
+    reopen(now, actions);
+}
+
+void session_state::tick_retired(core::time_point now, session_actions& actions)
+{
+    for (auto it = m_retired.begin(); it != m_retired.end();) {
+        const bool is_finished = it->link->outstanding.empty();
+        if (is_finished && it->closes >= max_closes) {
+            m_feed.forget(*it->link);
+            it = m_retired.erase(it);
+            continue;
+        }
+        if (is_finished && it->close_timer.is_due(now)) {
+            it->close_timer.advance(now);
+            ++it->closes;
+            send_on(it->link->token, wire::closeT{}, actions);
+        }
+        ++it;
+    }
+}
+
+void session_state::on_tick(core::time_point now, session_actions& actions)
+{
+    if (const auto failure = m_opener.on_tick(now, m_random, m_options.tenant, actions)) {
+        actions.push_back(*failure);
+    }
+    tick_path(now, actions);
+    tick_candidate(now, actions);
+    m_requests.on_tick(now, m_current.get(), actions);
+    m_feed.on_tick(now, m_current.get(), actions);
+    tick_retired(now, actions);
+}
+
+} // namespace daisydoor::caller::detail
