--- /dev/null
+++ b/src/entry/routing_table.cpp
@@ -0,0 +1,194 @@
+#include "routing_table.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numeric>
+#include <optional>
+#include <xxhash.h>
+
+namespace daisydoor::entry::detail
+{
+
+namespace
+{
+
+/// Above this part of a service's hosts the fleet view is more likely to be wrong than the hosts are to be gone.
+constexpr std::size_t fleet_doubt_percent = 30;
+
+/// @brief Exponentially distributed value for a pair of flow and host; the smallest of them wins the rendezvous.
+double exponential(std::uint64_t flow_hash, core::host_id host) noexcept
+{
+    const auto id = core::raw(host);
+    const std::uint64_t hash = XXH3_64bits_withSeed(&id, sizeof id, flow_hash);
+    constexpr double scale = 1.0 / static_cast<double>(std::uint64_t{1} << 53U);
+    return -std::log((static_cast<double>(hash >> 11U) + 0.5) * scale);
+}
+
+/// @brief Hosts of a fleet view that are live, sorted by id.
+std::vector<core::host_id> live_hosts(const config::fleet_view& view)
+{
+    std::vector<core::host_id> result;
+    for (const auto& it : view.instances) {
+        if (!it.is_entry && it.state == config::instance_state::live) {
+            result.push_back(it.host);
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+/// @brief Fraction of a zone's opens that each zone takes (design 7.2).
+/// @param capacity share of the service's capacity by zone, sums to 1
+std::vector<double> zone_fractions(const std::vector<config::zone>& zones, const std::vector<double>& capacity,
+                                   std::size_t own)
+{
+    std::vector<double> result(zones.size());
+    const double share = zones[own].entry_share;
+    double kept = 0;
+    if (capacity[own] > 0) {
+        kept = share > capacity[own] ? capacity[own] / share : 1;
+    }
+    double spare = 0;
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        result[i] = i == own ? 0 : std::max(0.0, capacity[i] - zones[i].entry_share);
+        spare += result[i];
+    }
+    if (spare <= 0) {
+        // The shares are rounded, so that no zone may have spare capacity for the rest.
+        return capacity[own] > 0 ? (std::fill(result.begin(), result.end(), 0.0), result[own] = 1, result) : capacity;
+    }
+    for (auto& it : result) {
+        it *= (1 - kept) / spare;
+    }
+    result[own] = kept;
+    return result;
+}
+
+} // namespace
+
+std::size_t routing_table::endpoint_hash::operator()(const core::endpoint& value) const noexcept
+{
+    static_assert(sizeof value == 18, "an endpoint has no padding");
+    return XXH3_64bits(&value, sizeof value);
+}
+
+routing_table::routing_table(const config::snapshot& configuration, const std::string& zone)
+    : m_zones(configuration.zones)
+{
+    const auto own =
+        std::find_if(m_zones.begin(), m_zones.end(), [&zone](const config::zone& it) { return it.name == zone; });
+    m_own_zone = static_cast<std::size_t>(own - m_zones.begin());
+    std::size_t total = 0;
+    std::size_t largest = 0;
+    for (const auto& it : configuration.services) {
+        total += it.hosts.size();
+        largest = std::max(largest, it.hosts.size());
+    }
+    m_targets.reserve(total);
+    m_scratch.reserve(largest);
+    m_services.reserve(configuration.services.size());
+    m_by_address.reserve(configuration.services.size());
+    std::vector<const config::host*> hosts;
+    for (const auto& it : configuration.services) {
+        hosts.clear();
+        std::transform(it.hosts.begin(), it.hosts.end(), std::back_inserter(hosts),
+                       [](const config::host& host) { return &host; });
+        std::sort(hosts.begin(), hosts.end(), [](const auto* a, const auto* b) { return a->id < b->id; });
+        m_by_address.emplace(it.address, static_cast<std::uint32_t>(m_services.size()));
+        m_services.push_back(
+            {it.id, static_cast<std::uint32_t>(m_targets.size()), static_cast<std::uint32_t>(hosts.size())});
+        for (const auto* host : hosts) {
+            m_targets.push_back({host->id, host->agent, host->zone, rank_group::weighted, host->slots, 1});
+            m_draining.push_back(host->draining);
+        }
+    }
+    apply_fleet_view(nullptr);
+}
+
+void routing_table::apply_fleet_view(const config::fleet_view* view)
+{
+    const auto live = view != nullptr ? live_hosts(*view) : std::vector<core::host_id>();
+    const auto is_gone = [&live](const target& it) { return !std::binary_search(live.begin(), live.end(), it.id); };
+    for (const auto& service : m_services) {
+        auto* first = m_targets.data() + service.first;
+        auto* last = first + service.count;
+        const auto gone = view != nullptr ? static_cast<std::size_t>(std::count_if(first, last, is_gone)) : 0;
+        const bool is_believed = view != nullptr && gone * 100 <= std::size_t{service.count} * fleet_doubt_percent;
+        for (auto* it = first; it != last; ++it) {
+            const bool is_draining = m_draining[static_cast<std::size_t>(it - m_targets.data())];
+            it->group = is_draining || (is_believed && is_gone(*it)) ? rank_group::last : rank_group::weighted;
+            it->inverse_weight = 1.0 / it->slots;
+        }
+        weigh(service);
+    }
+}
+
+void routing_table::weigh(const routed_service& service)
+{
+    auto* first = m_targets.data() + service.first;
+    if (m_own_zone < m_zones.size()) {
+        apply_zone_weights(first, first + service.count);
+    }
+}
+
+void routing_table::apply_zone_weights(target* first, target* last)
+{
+    std::vector<double> slots(m_zones.size());
+    for (const auto* it = first; it != last; ++it) {
+        if (it->group == rank_group::weighted) {
+            slots.at(it->zone) += it->slots;
+        }
+    }
+    const double total = std::accumulate(slots.begin(), slots.end(), 0.0);
+    if (total <= 0) {
+        return;
+    }
+    std::vector<double> capacity = slots;
+    for (auto& it : capacity) {
+        it /= total;
+    }
+    const auto fractions = zone_fractions(m_zones, capacity, m_own_zone);
+    for (auto* it = first; it != last; ++it) {
+        if (it->group != rank_group::weighted) {
+            continue;
+        }
+        const double weight = fractions[it->zone] * it->slots / slots[it->zone];
+        if (weight > 0) {
+            it->inverse_weight = 1 / weight;
+        } else {
+            it->group = rank_group::unweighted;
+        }
+    }
+}
+
+const routed_service* routing_table::find_service(const core::endpoint& address) const
+{
+    const auto it = m_by_address.find(address);
+    return it != m_by_address.end() ? &m_services[it->second] : nullptr;
+}
+
+const target* routing_table::find_target(const routed_service& service, core::host_id host) const
+{
+    const auto* first = m_targets.data() + service.first;
+    const auto* last = first + service.count;
+    const auto* it = std::lower_bound(first, last, host, [](const target& a, core::host_id id) { return a.id < id; });
+    return it != last && it->id == host ? it : nullptr;
+}
+
+const target* routing_table::select(const routed_service& service, std::uint64_t flow_hash, std::uint8_t attempt)
+{
+    if (service.count == 0) {
+        return nullptr;
+    }
+    m_scratch.clear();
+    const auto* first = m_targets.data() + service.first;
+    for (const auto* it = first; it != first + service.count; ++it) {
+        m_scratch.push_back({it->group, exponential(flow_hash, it->id) * it->inverse_weight, it});
+    }
+    const std::ptrdiff_t rank = attempt % service.count;
+    std::nth_element(m_scratch.begin(), m_scratch.begin() + rank, m_scratch.end());
+    return m_scratch[static_cast<std::size_t>(rank)].value;
+}
+
+} // namespace daisydoor::entry::detail
