Add stand-ins for platform, fabric and target

The process tests and the demo need the systems around daisydoor. Each stand-in is its own executable with one libevent loop and an HTTP control address apart from its service address, so that it can be controlled while its service is closed or frozen.

The fabric has not carried traffic yet, since there is no entry or agent to talk to.

--- /dev/null
+++ b/tests/standins/common/loop.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "daisydoor/core/time.hpp"
+
+#include <event2/event.h>
+#include <functional>
+#include <memory>
+#include <vector>
+
+/// @brief Stand-ins for the systems around daisydoor, each a process with one event loop.
+namespace daisydoor::standins
+{
+
+/// @brief libevent loop that ends on SIGINT or SIGTERM.
+class loop
+{
+  public:
+    using callback = std::function<void()>;
+
+    loop();
+    ~loop();
+    loop(const loop&) = delete;
+    loop& operator=(const loop&) = delete;
+
+    [[nodiscard]] event_base* base() const noexcept { return m_base; }
+    void run();
+    void stop();
+    /// @brief Runs `fn` once after `delay`.
+    void after(core::milliseconds delay, callback fn);
+    /// @brief Runs `fn` every `period` until the loop is destroyed.
+    void every(core::milliseconds period, callback fn);
+
+  private:
+    struct timer
+    {
+        callback fn;
+        event* ev = nullptr;
+    };
+
+    event_base* m_base;
+    std::vector<event*> m_signals;
+    std::vector<std::unique_ptr<timer>> m_timers;
+};
+
+/// @brief Converts to the form that libevent takes.
+timeval to_timeval(core::milliseconds value) noexcept;
+
+} // namespace daisydoor::standins
--- /dev/null
+++ b/tests/standins/fabric/fabric.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "daisydoor/core/random.hpp"
+#include "daisydoor/wire/datagram.hpp"
+#include "standins/common/http.hpp"
+#include "standins/common/udp.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisydoor::standins
+{
+
+struct fabric_entry
+{
+    std::string zone;
+    core::endpoint address;
+};
+
+struct fabric_agent
+{
+    std::uint32_t host = 0;
+    std::string zone;
+    /// Address in the published configuration.
+    core::endpoint address;
+};
+
+struct fabric_options
+{
+    core::endpoint return_path;
+    core::endpoint control;
+    std::vector<core::endpoint> services;
+    std::vector<fabric_entry> entries;
+    std::vector<fabric_agent> agents;
+    std::uint64_t seed = 1;
+    core::milliseconds caller_delay{0};
+    double loss = 0;
+    double duplicate = 0;
+    double reorder = 0;
+};
+
+/// @brief Sprays the callers' datagrams over the entries, and sends what returns to the callers.
+class fabric
+{
+  public:
+    fabric(loop& events, fabric_options options);
+
+  private:
+    struct entry_path
+    {
+        fabric_entry entry;
+        std::unique_ptr<udp_socket> socket;
+        std::uint64_t sent = 0;
+        /// Until then the entry's port is closed, as an ICMP message has told.
+        core::time_point down_until;
+    };
+
+    struct counters
+    {
+        std::uint64_t from_callers = 0;
+        std::uint64_t returned = 0;
+        std::uint64_t lost = 0;
+        std::uint64_t duplicated = 0;
+        std::uint64_t reordered = 0;
+        std::uint64_t cut = 0;
+        std::uint64_t forgotten = 0;
+        std::uint64_t malformed = 0;
+        std::uint64_t without_entry = 0;
+    };
+
+    void add_entry(const fabric_entry& entry);
+    void on_caller_datagram(const core::endpoint& service, const std::uint8_t* data, std::size_t size,
+                            const core::endpoint& caller);
+    void on_return_datagram(const std::uint8_t* data, std::size_t size, const core::endpoint& from);
+    entry_path* select_entry();
+    /// @brief Runs `send` once, later, more than once or not at all, as the impairments demand.
+    void transmit(core::milliseconds delay, const std::function<void()>& send);
+    bool happens(double probability);
+    [[nodiscard]] bool is_cut(const core::endpoint& address) const;
+    [[nodiscard]] std::string zone_of(const core::endpoint& address) const;
+    void on_control(evhttp_request* request);
+    void apply(const http_call& call);
+    void apply_cuts(const http_call& call);
+    void forget(const std::string& which);
+    [[nodiscard]] std::string stats() const;
+
+    loop& m_loop;
+    fabric_options m_options;
+    core::random_source m_random;
+    std::map<core::endpoint, std::unique_ptr<udp_socket>> m_services;
+    std::unique_ptr<udp_socket> m_return;
+    std::vector<std::unique_ptr<entry_path>> m_entries;
+    std::set<core::endpoint> m_cut_addresses;
+    std::set<std::string> m_cut_zones;
+    std::set<core::endpoint> m_callers;
+    std::set<core::endpoint> m_forgotten;
+    counters m_counters;
+    std::unique_ptr<http_server> m_control;
+};
+
+} // namespace daisydoor::standins
--- /dev/null
+++ b/tests/standins/target/feeds_and_control.cpp
@@ -0,0 +1,128 @@
+#include "standins/common/contract.hpp"
+#include "standins/target/target.hpp"
+
+#include <chrono>
+#include <event2/buffer.h>
+
+namespace daisydoor::standins
+{
+
+namespace
+{
+
+constexpr std::size_t cold_requests = 20;
+/// Events that a target keeps for a reconnecting agent: 10 minutes.
+constexpr std::uint64_t replayed_events = 3000;
+
+std::uint64_t current_event()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return static_cast<std::uint64_t>(ms) / feed_event_interval_ms;
+}
+
+} // namespace
+
+void target::open_feed(evhttp_request* request)
+{
+    const auto now = current_event();
+    const auto text = header(request, "Last-Event-ID");
+    const auto last = std::strtoull(text.c_str(), nullptr, 10);
+    const bool is_resumed = last != 0 && last <= now && now - last <= replayed_events;
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", "text/event-stream");
+    evhttp_send_reply_start(request, HTTP_OK, "OK");
+    m_feeds.push_back({request, is_resumed ? last : now, m_new_feeds_silent});
+}
+
+void target::publish_events()
+{
+    if (m_mode == target_mode::frozen) {
+        return;
+    }
+    const auto now = current_event();
+    for (auto& it : m_feeds) {
+        if (it.silent || it.last >= now) {
+            continue;
+        }
+        evbuffer* buf = evbuffer_new();
+        while (it.last < now) {
+            ++it.last;
+            evbuffer_add_printf(buf, "id: %llu\ndata: %s\n\n", static_cast<unsigned long long>(it.last),
+                                expected_event(m_options.service, it.last).c_str());
+        }
+        evhttp_send_reply_chunk(it.request, buf);
+        evbuffer_free(buf);
+    }
+}
+
+std::string target::health() const
+{
+    if (!m_claimed_health.empty()) {
+        return "{\"state\": \"" + m_claimed_health + "\"}";
+    }
+    return m_mode == target_mode::draining ? "{\"state\": \"draining\"}" : "{\"state\": \"ok\"}";
+}
+
+std::string target::load() const
+{
+    return "{\"in_flight\": " + (m_claimed_load.empty() ? std::to_string(m_running) : m_claimed_load) + "}";
+}
+
+void target::on_control(evhttp_request* request)
+{
+    const auto call = parse_call(request);
+    if (!call.is_post && call.path == "/executions") {
+        reply(request, HTTP_OK, m_executions);
+    } else if (!call.is_post && call.path == "/stats") {
+        reply(request, HTTP_OK,
+              "{\"executed\": " + std::to_string(m_executed) + ", \"cancelled\": " + std::to_string(m_cancelled) +
+                  ", \"running\": " + std::to_string(m_running) + ", \"queued\": " + std::to_string(m_queue.size()) +
+                  ", \"feeds\": " + std::to_string(m_feeds.size()) + "}\n");
+    } else if (call.is_post && call.path == "/control") {
+        const bool is_known = apply(call);
+        reply(request, is_known ? HTTP_OK : HTTP_BADREQUEST, is_known ? "ok\n" : "unknown mode\n");
+    } else {
+        reply(request, HTTP_NOTFOUND, "");
+    }
+}
+
+bool target::apply(const http_call& call)
+{
+    if (const auto claim = call.find("health")) {
+        m_claimed_health = *claim == "true" ? "" : *claim;
+    }
+    if (const auto claim = call.find("load")) {
+        m_claimed_load = *claim == "true" ? "" : *claim;
+    }
+    if (const auto feeds = call.find("feeds")) {
+        // "silent" concerns the open connections only; new ones work unless "all_silent" is asked for.
+        m_new_feeds_silent = *feeds == "all_silent";
+        for (auto& it : m_feeds) {
+            it.silent = *feeds != "normal";
+        }
+    }
+    const auto mode = call.find("mode");
+    if (!mode) {
+        return true;
+    }
+    static const std::map<std::string, target_mode> modes{
+        {"normal", target_mode::normal},     {"slow", target_mode::slow},         {"cold", target_mode::cold},
+        {"shedding", target_mode::shedding}, {"draining", target_mode::draining}, {"frozen", target_mode::frozen}};
+    const auto it = modes.find(*mode);
+    if (it == modes.end()) {
+        return false;
+    }
+    m_mode = it->second;
+    m_slow_time = core::milliseconds(static_cast<std::int64_t>(call.number("ms", 0)));
+    m_cold_left = m_mode == target_mode::cold ? cold_requests : 0;
+    if (m_mode != target_mode::frozen) {
+        std::deque<evhttp_request*> held;
+        held.swap(m_held);
+        for (auto* request : held) {
+            on_call(request);
+        }
+    }
+    return true;
+}
+
+} // namespace daisydoor::standins
--- /dev/null
+++ b/tests/standins/target/target.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "daisydoor/core/random.hpp"
+#include "standins/common/http.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace daisydoor::standins
+{
+
+struct target_options
+{
+    core::endpoint listen;
+    core::endpoint control;
+    std::string service;
+    std::size_t slots = 5;
+    core::milliseconds service_time{20};
+    /// Exponentially distributed service times; otherwise each takes `service_time`.
+    bool exponential = false;
+    std::uint64_t seed = 1;
+    /// File that gets a line before each execution starts, and so survives a SIGKILL; none if empty.
+    std::string execution_log;
+};
+
+enum class target_mode
+{
+    normal,
+    /// Each request takes ten times as long, or the time given.
+    slow,
+    /// As slow, for the next 20 requests.
+    cold,
+    /// Answers 503 without running.
+    shedding,
+    /// The health endpoint reports a drain; requests still run.
+    draining,
+    /// Accepts connections but neither runs nor answers anything.
+    frozen,
+};
+
+/// @brief HTTP/1.1 target as in the target contract, with an execution log and failure modes.
+class target
+{
+  public:
+    target(loop& events, const target_options& options);
+    ~target();
+    target(const target&) = delete;
+    target& operator=(const target&) = delete;
+
+  private:
+    using exchange_number = std::uint64_t;
+
+    struct exchange
+    {
+        evhttp_request* request = nullptr;
+        http_call call;
+        bool running = false;
+    };
+
+    struct feed
+    {
+        evhttp_request* request = nullptr;
+        std::uint64_t last = 0;
+        bool silent = false;
+    };
+
+    void on_call(evhttp_request* request);
+    void accept_request(evhttp_request* request, http_call call);
+    void start_queued();
+    void execute(exchange_number number);
+    void finish(exchange_number number);
+    core::milliseconds next_service_time();
+    void log_execution(const exchange& item);
+    void open_feed(evhttp_request* request);
+    void publish_events();
+    void on_closed(evhttp_connection* connection);
+    [[nodiscard]] std::string health() const;
+    [[nodiscard]] std::string load() const;
+    void on_control(evhttp_request* request);
+    bool apply(const http_call& call);
+
+    loop& m_loop;
+    target_options m_options;
+    core::random_source m_random;
+    target_mode m_mode = target_mode::normal;
+    core::milliseconds m_slow_time{0};
+    std::size_t m_cold_left = 0;
+    /// Answers of the endpoints if they lie; empty if they tell the truth.
+    std::string m_claimed_health;
+    std::string m_claimed_load;
+    exchange_number m_last_number = 0;
+    std::map<exchange_number, exchange> m_exchanges;
+    std::deque<exchange_number> m_queue;
+    std::size_t m_running = 0;
+    std::deque<evhttp_request*> m_held;
+    std::list<feed> m_feeds;
+    bool m_new_feeds_silent = false;
+    std::string m_executions;
+    std::uint64_t m_executed = 0;
+    std::uint64_t m_cancelled = 0;
+    int m_log_fd = -1;
+    std::unique_ptr<http_server> m_service;
+    std::unique_ptr<http_server> m_control;
+};
+
+} // namespace daisydoor::standins
