Add the caller's socket client library

caller::client drives a caller::session with a UDP socket and a libevent loop of its own or of the user. Handlers run from the loop only, so that a caller knows a request's number before its outcome arrives.

--- /dev/null
+++ b/include/daisydoor/caller/client.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "daisydoor/caller/error.hpp"
+#include "daisydoor/caller/session.hpp"
+#include "daisydoor/core/endpoint.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct event_base;
+
+namespace daisydoor::caller
+{
+
+/// Path and payload of a request together; they travel in one datagram.
+constexpr std::size_t max_request_size = wire::max_segment_payload;
+
+struct client_options
+{
+    /// Published address of the service.
+    core::endpoint service;
+    core::tenant_id tenant{};
+    core::milliseconds open_timeout{5000};
+    /// Seed of the session's random choices; 0 takes one from the operating system.
+    std::uint64_t seed = 0;
+};
+
+/// @brief What became of a request.
+enum class outcome_kind
+{
+    answered,
+    /// Proved: no target has run the request or ever will.
+    not_run,
+    /// The request may have run.
+    unknown,
+};
+constexpr std::array<std::string_view, 3> outcome_kind_names{"answered", "not_run", "unknown"};
+
+/// @brief The single outcome of one request.
+struct outcome
+{
+    core::request_number number{};
+    outcome_kind kind = outcome_kind::unknown;
+    /// HTTP status of the target and its whole answer; only if answered.
+    std::uint16_t status = 0;
+    std::vector<std::uint8_t> payload;
+    /// Why the request was refused, and when a retry makes sense; only if not answered.
+    wire::refusal_reason reason = wire::refusal_reason::none;
+    core::milliseconds retry_after{0};
+};
+
+struct open_result
+{
+    bool is_open = false;
+    /// Why opening failed, and when a retry makes sense.
+    wire::refusal_reason reason = wire::refusal_reason::none;
+    core::milliseconds retry_after{0};
+};
+
+/// @brief Client of one service over UDP: requests, postings and one feed on one session.
+///
+/// Handlers run from the event loop, never from within the call that registers them; a handler may use or destroy the
+/// client. Every accepted request gets exactly one outcome, unless the client is destroyed first. Not thread-safe:
+/// all calls belong on the thread that runs the loop.
+class client
+{
+  public:
+    using open_handler = std::function<void(const open_result&)>;
+    using outcome_handler = std::function<void(const outcome&)>;
+    using event_handler = std::function<void(const feed_event&)>;
+
+    /// @brief Creates a client with a loop of its own; run() or the blocking calls drive it.
+    /// @throws caller_error with errc::socket_failed
+    explicit client(const client_options& options);
+    /// @brief Creates a client on the user's loop, which must outlive it.
+    /// @throws caller_error with errc::socket_failed
+    client(const client_options& options, event_base* loop);
+    /// @brief Closes the session; outstanding handlers are not called.
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    /// @brief Opens the session. Requests may be started before it is open; their deadlines run from the call.
+    /// @throws caller_error with errc::already_opened
+    void open(open_handler handler);
+    /// @brief Starts an idempotent request, which may be repeated until its deadline.
+    /// @throws caller_error with errc::not_open or errc::bad_argument
+    core::request_number request(const std::string& path, core::milliseconds deadline, outcome_handler handler);
+    /// @brief Starts a posting, which runs at most once.
+    /// @throws caller_error with errc::not_open or errc::bad_argument
+    core::request_number post(const std::string& path, std::vector<std::uint8_t> payload, core::milliseconds deadline,
+                              outcome_handler handler);
+    /// @brief Asks for cancellation; the request's handler still gets its true outcome.
+    void cancel(core::request_number number);
+    /// @brief Follows the feed at `path` from the event after `last_event`; 0 starts with the next event.
+    /// A second call replaces the feed. @throws caller_error with errc::not_open or errc::bad_argument
+    void subscribe(const std::string& path, core::event_id last_event, event_handler handler);
+    /// @brief Ends the session. Outstanding requests get the outcome `unknown`.
+    void close();
+
+    /// @brief Blocking open(). @throws caller_error with errc::open_failed or errc::foreign_loop
+    void open_and_wait();
+    /// @brief Blocking request(). @throws caller_error as request(), or with errc::foreign_loop
+    outcome request_and_wait(const std::string& path, core::milliseconds deadline);
+    /// @brief Blocking post(). @throws caller_error as post(), or with errc::foreign_loop
+    outcome post_and_wait(const std::string& path, std::vector<std::uint8_t> payload, core::milliseconds deadline);
+    /// @brief Runs the client's own loop for a time or until stop(). @throws caller_error with errc::foreign_loop
+    void run_for(core::milliseconds time);
+    /// @brief Ends run_for() early.
+    void stop();
+
+    [[nodiscard]] bool is_open() const noexcept;
+    /// @brief Id of the last event that the handler got; 0 before the first one.
+    [[nodiscard]] core::event_id last_event() const noexcept;
+    /// @brief Token of the current flow; it changes when the session moves to another agent.
+    [[nodiscard]] const wire::flow_token& token() const noexcept;
+
+  private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace daisydoor::caller
--- /dev/null
+++ b/src/caller/client_impl.cpp
@@ -0,0 +1,316 @@
+#include "caller/client_impl.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <random>
+
+namespace daisydoor::caller
+{
+
+namespace
+{
+
+/// Resolution of the session's timers; a fifth of the shortest one, the first retransmission after 100 ms.
+constexpr timeval tick_interval{0, 20'000};
+/// The session reports an outcome by the deadline; a blocking call waits this much longer before it gives up.
+constexpr core::milliseconds blocking_grace{5000};
+
+event_base* new_loop()
+{
+    event_base* result = event_base_new();
+    if (result == nullptr) {
+        throw caller_error(errc::socket_failed, "libevent gives no event loop");
+    }
+    return result;
+}
+
+core::random_source make_random(std::uint64_t seed)
+{
+    if (seed != 0) {
+        return core::random_source(seed);
+    }
+    std::random_device device;
+    std::seed_seq sequence{device(), device(), device(), device()};
+    return core::random_source(sequence);
+}
+
+template <typename... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+void check_path(const std::string& path)
+{
+    const bool is_printable = std::all_of(path.begin(), path.end(), [](char c) { return c > ' ' && c < 127; });
+    if (path.empty() || path.front() != '/' || !is_printable) {
+        throw caller_error(errc::bad_argument, "path '" + path +
+                                                   "' is not allowed; it starts with '/' and holds printable ASCII "
+                                                   "characters without spaces");
+    }
+}
+
+} // namespace
+
+client::impl::impl(const client_options& options, event_base* loop)
+    : m_own_loop(loop == nullptr ? new_loop() : nullptr, event_base_free),
+      m_loop(loop == nullptr ? m_own_loop.get() : loop), m_open_timeout(options.open_timeout),
+      m_session({options.tenant, options.open_timeout}, make_random(options.seed)),
+      m_socket(m_loop, options.service, [this](wire::bytes_view packet) { on_packet(packet); })
+{
+    m_tick = event_new(
+        m_loop, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<impl*>(self)->on_tick(); }, this);
+    m_delivery = event_new(
+        m_loop, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<impl*>(self)->deliver(); }, this);
+}
+
+client::impl::~impl() { detach(); }
+
+void client::impl::detach()
+{
+    close();
+    m_deliveries.clear();
+    for (event** ev : {&m_tick, &m_delivery}) {
+        if (*ev != nullptr) {
+            event_free(*ev);
+            *ev = nullptr;
+        }
+    }
+}
+
+void client::impl::require_open() const
+{
+    if (!m_is_started) {
+        throw caller_error(errc::not_open, "the client is not open; call open() first");
+    }
+}
+
+void client::impl::open(open_handler handler)
+{
+    if (m_was_opened) {
+        throw caller_error(errc::already_opened, "open() is called once; another session needs another client");
+    }
+    m_was_opened = true;
+    m_is_started = true;
+    m_open_handler = std::move(handler);
+    event_add(m_tick, &tick_interval);
+    session_actions actions;
+    m_session.open(core::clock::now(), actions);
+    apply(actions);
+}
+
+core::request_number client::impl::start(wire::request_kind kind, const std::string& path,
+                                         std::vector<std::uint8_t> payload, core::milliseconds deadline,
+                                         outcome_handler handler)
+{
+    require_open();
+    check_path(path);
+    if (path.size() + payload.size() > max_request_size) {
+        throw caller_error(errc::bad_argument, "path and payload take " + std::to_string(path.size() + payload.size()) +
+                                                   " bytes; at most " + std::to_string(max_request_size) +
+                                                   " are allowed");
+    }
+    if (deadline.count() <= 0) {
+        throw caller_error(errc::bad_argument,
+                           "deadline of " + std::to_string(deadline.count()) + " ms; it must be at least 1 ms");
+    }
+    session_actions actions;
+    const auto now = core::clock::now();
+    const auto number = kind == wire::request_kind::idempotent
+                            ? m_session.request(now, path, deadline, actions)
+                            : m_session.post(now, path, std::move(payload), deadline, actions);
+    m_requests[number] = std::move(handler);
+    apply(actions);
+    return number;
+}
+
+void client::impl::cancel(core::request_number number)
+{
+    require_open();
+    session_actions actions;
+    m_session.cancel(core::clock::now(), number, actions);
+    apply(actions);
+}
+
+void client::impl::subscribe(const std::string& path, core::event_id last_event, event_handler handler)
+{
+    require_open();
+    check_path(path);
+    m_event_handler = std::move(handler);
+    session_actions actions;
+    m_session.subscribe(core::clock::now(), path, last_event, actions);
+    apply(actions);
+}
+
+void client::impl::close()
+{
+    if (!m_is_started) {
+        return;
+    }
+    m_is_started = false;
+    session_actions actions;
+    m_session.close(core::clock::now(), actions);
+    apply(actions);
+    event_del(m_tick);
+    m_event_handler = nullptr;
+    m_open_handler = nullptr;
+    const auto requests = std::move(m_requests);
+    m_requests.clear();
+    for (const auto& [number, handler] : requests) {
+        deliver_later([handler = handler, number = number] {
+            outcome value;
+            value.number = number;
+            value.reason = wire::refusal_reason::cancelled;
+            handler(value);
+        });
+    }
+}
+
+void client::impl::on_packet(wire::bytes_view packet)
+{
+    if (!m_is_started) {
+        return;
+    }
+    session_actions actions;
+    m_session.on_packet(core::clock::now(), packet, actions);
+    apply(actions);
+}
+
+void client::impl::on_tick()
+{
+    session_actions actions;
+    m_session.on_tick(core::clock::now(), actions);
+    apply(actions);
+}
+
+void client::impl::apply(session_actions& actions)
+{
+    for (const auto& it : actions) {
+        apply(it);
+    }
+}
+
+void client::impl::apply(const session_action& action)
+{
+    const auto tell_open = [this](const open_result& value) {
+        if (m_open_handler) {
+            // A session that resumes reports again that it is open; the handler is for the first report.
+            deliver_later([handler = std::move(m_open_handler), value] { handler(value); });
+            m_open_handler = nullptr;
+        }
+    };
+    std::visit(overloaded{
+                   [this](const send_packet& it) { m_socket.send(it.bytes); },
+                   [this](const replace_socket&) { m_socket.replace(); },
+                   [&](const opened&) {
+                       tell_open({true, wire::refusal_reason::none, core::milliseconds{0}});
+                   },
+                   [&](const open_failed& it) {
+                       tell_open({false, it.reason, it.retry_after});
+                   },
+                   [this](const answered& it) {
+                       finish({it.number, outcome_kind::answered, it.status, it.payload, wire::refusal_reason::none,
+                               core::milliseconds{0}});
+                   },
+                   [this](const refused& it) {
+                       const auto kind =
+                           it.kind == wire::refusal_kind::not_run ? outcome_kind::not_run : outcome_kind::unknown;
+                       finish({it.number, kind, 0, {}, it.reason, it.retry_after});
+                   },
+                   [this](const feed_event& it) {
+                       if (m_event_handler) {
+                           deliver_later([handler = m_event_handler, it] { handler(it); });
+                       }
+                   },
+               },
+               action);
+}
+
+void client::impl::finish(const outcome& value)
+{
+    const auto it = m_requests.find(value.number);
+    if (it == m_requests.end()) {
+        return;
+    }
+    deliver_later([handler = std::move(it->second), value] { handler(value); });
+    m_requests.erase(it);
+}
+
+void client::impl::deliver_later(delivery fn)
+{
+    m_deliveries.push_back(std::move(fn));
+    if (m_delivery != nullptr) {
+        event_active(m_delivery, EV_TIMEOUT, 0);
+    }
+}
+
+void client::impl::deliver()
+{
+    // A handler may destroy the client.
+    const auto self = shared_from_this();
+    while (!m_deliveries.empty()) {
+        const auto fn = std::move(m_deliveries.front());
+        m_deliveries.pop_front();
+        fn();
+    }
+}
+
+void client::impl::require_own_loop() const
+{
+    if (m_own_loop == nullptr) {
+        throw caller_error(errc::foreign_loop, "blocking calls need a client with a loop of its own");
+    }
+}
+
+void client::impl::run_for(core::milliseconds time)
+{
+    require_own_loop();
+    const auto self = shared_from_this();
+    const timeval tv{time.count() / 1000, (time.count() % 1000) * 1000};
+    event* end = event_new(
+        m_loop, -1, 0, [](evutil_socket_t, short, void* base) { event_base_loopbreak(static_cast<event_base*>(base)); },
+        m_loop);
+    event_add(end, &tv);
+    event_base_dispatch(m_loop);
+    event_free(end);
+}
+
+void client::impl::run_until(core::milliseconds time, const std::function<bool()>& is_done)
+{
+    const auto end = core::clock::now() + time;
+    // Handlers of other requests may end the loop early.
+    while (!is_done() && core::clock::now() < end) {
+        run_for(std::chrono::duration_cast<core::milliseconds>(end - core::clock::now()) + core::milliseconds(1));
+    }
+}
+
+outcome client::impl::wait(core::milliseconds deadline,
+                           const std::function<core::request_number(outcome_handler)>& start_request)
+{
+    require_own_loop();
+    const auto result = std::make_shared<std::optional<outcome>>();
+    const auto number = start_request([result, this](const outcome& value) {
+        *result = value;
+        stop();
+    });
+    run_until(deadline + blocking_grace, [&] { return result->has_value(); });
+    if (!result->has_value()) {
+        m_requests.erase(number);
+        outcome missing;
+        missing.number = number;
+        missing.reason = wire::refusal_reason::deadline;
+        return missing;
+    }
+    return std::move(**result);
+}
+
+void client::impl::stop()
+{
+    if (m_own_loop != nullptr) {
+        event_base_loopbreak(m_own_loop.get());
+    }
+}
+
+} // namespace daisydoor::caller
--- /dev/null
+++ b/src/caller/client_impl.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "caller/client_socket.hpp"
+#include "daisydoor/caller/client.hpp"
+
+#include <deque>
+#include <event2/event.h>
+#include <map>
+
+namespace daisydoor::caller
+{
+
+/// @brief Drives a session with a socket and a timer, and calls the user's handlers from the loop.
+class client::impl : public std::enable_shared_from_this<client::impl>
+{
+  public:
+    /// @param loop the user's loop, or nullptr for one of its own
+    impl(const client_options& options, event_base* loop);
+    ~impl();
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    void open(open_handler handler);
+    core::request_number start(wire::request_kind kind, const std::string& path, std::vector<std::uint8_t> payload,
+                               core::milliseconds deadline, outcome_handler handler);
+    void cancel(core::request_number number);
+    void subscribe(const std::string& path, core::event_id last_event, event_handler handler);
+    void close();
+    /// @brief The user destroyed the client: no handler is called any more.
+    void detach();
+    void run_for(core::milliseconds time);
+    void stop();
+    /// @brief Starts a request with `start_request` and runs the loop until its outcome.
+    outcome wait(core::milliseconds deadline,
+                 const std::function<core::request_number(outcome_handler)>& start_request);
+    /// @brief Runs the loop until `is_done` or for `time`.
+    void run_until(core::milliseconds time, const std::function<bool()>& is_done);
+    /// @throws caller_error with errc::foreign_loop
+    void require_own_loop() const;
+
+    [[nodiscard]] const session& state() const noexcept { return m_session; }
+    [[nodiscard]] core::milliseconds open_timeout() const noexcept { return m_open_timeout; }
+
+  private:
+    using delivery = std::function<void()>;
+
+    void require_open() const;
+    void on_packet(wire::bytes_view packet);
+    void on_tick();
+    /// @brief Sends the session's packets and queues the calls of handlers.
+    void apply(session_actions& actions);
+    void apply(const session_action& action);
+    void finish(const outcome& value);
+    void deliver_later(delivery fn);
+    void deliver();
+
+    using loop_ptr = std::unique_ptr<event_base, void (*)(event_base*)>;
+
+    /// Declared first, so that it outlives what is registered on it.
+    loop_ptr m_own_loop;
+    event_base* m_loop;
+    core::milliseconds m_open_timeout;
+    session m_session;
+    client_socket m_socket;
+    event* m_tick = nullptr;
+    event* m_delivery = nullptr;
+    bool m_was_opened = false;
+    bool m_is_started = false;
+    std::deque<delivery> m_deliveries;
+    open_handler m_open_handler;
+    event_handler m_event_handler;
+    std::map<core::request_number, outcome_handler> m_requests;
+};
+
+} // namespace daisydoor::caller
