Add distribution of the published configuration

config_sync reads the platform where the process is one of its zone's two readers, relays versions by config_notice with fan-out 4 and pulls missing parts by digest. config_pull and config_push carry a sequence, so that an answer from before a pause cannot confirm the held version.

--- a/include/daisydoor/config/config_sync.hpp
+++ b/include/daisydoor/config/config_sync.hpp
@@ -65,6 +65,8 @@
 };
 
 /// @brief Reads, checks, relays and versions the configuration. Only ever moves to a higher version.
+///
+/// on_tick() is expected at least twice a second.
 class config_sync
 {
   public:
@@ -93,6 +95,8 @@
     [[nodiscard]] fleet_view_ptr fleet() const noexcept;
     /// @brief Whether this process is one of the zone's readers of the platform.
     [[nodiscard]] bool is_reader() const noexcept;
+    /// @brief Reads and watches of the platform that were requested since the start.
+    [[nodiscard]] std::uint64_t platform_calls() const noexcept;
 
   private:
     struct impl;
--- /dev/null
+++ b/src/config/config_sync.cpp
@@ -0,0 +1,434 @@
+#include "daisydoor/config/config_sync.hpp"
+
+#include "part_fetcher.hpp"
+#include "peer_directory.hpp"
+#include "platform_reader.hpp"
+#include "version_store.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace daisydoor::config
+{
+
+namespace
+{
+
+/// Reaches 69,000 processes in 9 rounds, well below 15 s.
+constexpr std::size_t config_fanout = 4;
+constexpr core::milliseconds config_pull_interval{5000};
+/// A process without a configuration serves nothing, so it asks more often.
+constexpr core::milliseconds start_pull_interval{1000};
+constexpr std::size_t refresh_peers = 3;
+/// Entries that are asked for parts besides the notifier.
+constexpr std::size_t random_part_sources = 2;
+/// Far above the 2 s for which opens wait for a confirmation.
+constexpr core::milliseconds refresh_lifetime{10000};
+/// Time before the same announced version is pulled again: after a pull without answer, and after one in vain.
+constexpr core::milliseconds claim_retry{1000};
+constexpr core::milliseconds claim_retry_in_vain{5000};
+constexpr core::milliseconds reader_max_wait{8000};
+/// Keeps 6,800 entries that all miss the same part at about a hundred reads a second.
+constexpr core::milliseconds other_max_wait{64000};
+/// Non-readers of a zone that read the platform in each pull interval, in case that the fleet view names dead readers.
+constexpr std::size_t safety_reads_per_interval = 2;
+
+} // namespace
+
+struct config_sync::impl
+{
+    using action_list = std::vector<sync_action>;
+
+    impl(sync_options value, core::random_source source)
+        : options(std::move(value)), random(source), store(options.service), directory(options), platform(random),
+          fetcher(store)
+    {
+    }
+
+    sync_options options;
+    core::random_source random;
+    detail::version_store store;
+    detail::peer_directory directory;
+    detail::platform_reader platform;
+    detail::part_fetcher fetcher;
+    core::time_point next_pull{};
+    /// Announced versions and when each may be pulled next.
+    std::map<core::config_version, core::time_point> claims;
+    std::uint64_t next_sequence = 1;
+    /// Pulls from this one on were sent after the refresh that waits for a confirmation.
+    std::uint64_t refresh_sequence = 0;
+    std::optional<core::time_point> refresh_until;
+    /// Single reads of the index that were sent before the refresh.
+    std::size_t reads_before_refresh = 0;
+
+    template <typename Body>
+    void send(const core::endpoint& peer, Body body, action_list& actions)
+    {
+        actions.emplace_back(send_config_message{peer, wire::make_peer_message(store.version(), std::move(body))});
+    }
+
+    void pull(const core::endpoint& peer, std::vector<std::string> parts, action_list& actions);
+    void notify_peers(const std::optional<core::endpoint>& source, action_list& actions);
+    void request_confirmation(core::time_point now, action_list& actions);
+    void confirm(action_list& actions);
+    void apply(core::time_point now, const detail::offer_result& result, const std::optional<core::endpoint>& source,
+               action_list& actions);
+    detail::offer_status offer_index(core::time_point now, const std::string& content,
+                                     const std::optional<core::endpoint>& source, action_list& actions);
+    void add_sources(std::uint64_t digest, const std::optional<core::endpoint>& peer);
+    void offer_part(core::time_point now, const std::string& key, const std::string& content,
+                    const std::optional<core::endpoint>& source, action_list& actions);
+    void offer_fleet(const std::string& content, const std::optional<core::endpoint>& source, action_list& actions);
+    void advance(core::time_point now, action_list& actions);
+    void pull_by_time(core::time_point now, action_list& actions);
+    void answer_pull(const core::endpoint& peer, const wire::config_pullT& request, action_list& actions);
+    void on_push(core::time_point now, const core::endpoint& peer, const wire::config_pushT& push,
+                 action_list& actions);
+    void on_version(core::time_point now, const core::endpoint& peer, core::config_version version,
+                    action_list& actions);
+};
+
+void config_sync::impl::pull(const core::endpoint& peer, std::vector<std::string> parts, action_list& actions)
+{
+    wire::config_pullT body;
+    body.have_version = core::raw(store.version());
+    body.have_fleet_version = store.fleet_version();
+    body.parts = std::move(parts);
+    body.sequence = next_sequence++;
+    send(peer, std::move(body), actions);
+}
+
+void config_sync::impl::notify_peers(const std::optional<core::endpoint>& source, action_list& actions)
+{
+    wire::config_noticeT body;
+    body.version = core::raw(store.version());
+    body.fleet_version = store.fleet_version();
+    for (const auto& peer : directory.notice_targets(config_fanout, random, source)) {
+        send(peer, body, actions);
+    }
+}
+
+void config_sync::impl::request_confirmation(core::time_point now, action_list& actions)
+{
+    const auto peers = directory.random_peers(refresh_peers, random);
+    for (const auto& peer : peers) {
+        pull(peer, {}, actions);
+    }
+    if (directory.is_reader() || peers.empty()) {
+        platform.read(now, std::string(index_key), false, actions);
+    }
+}
+
+void config_sync::impl::confirm(action_list& actions)
+{
+    refresh_until.reset();
+    actions.emplace_back(confirm_configuration{});
+}
+
+void config_sync::impl::apply(core::time_point now, const detail::offer_result& result,
+                              const std::optional<core::endpoint>& source, action_list& actions)
+{
+    if (result.error) {
+        actions.emplace_back(reject_configuration{result.error->number, result.error->what});
+    }
+    if (result.status != detail::offer_status::accepted) {
+        return;
+    }
+    directory.update(store.current(), store.fleet());
+    actions.emplace_back(accept_configuration{store.current()});
+    notify_peers(source, actions);
+    if (refresh_until) {
+        // The accepted version may itself have waited through the pause.
+        request_confirmation(now, actions);
+    }
+}
+
+detail::offer_status config_sync::impl::offer_index(core::time_point now, const std::string& content,
+                                                    const std::optional<core::endpoint>& source, action_list& actions)
+{
+    const auto result = store.offer_index(content);
+    apply(now, result, source, actions);
+    if (result.status == detail::offer_status::added) {
+        add_sources(content_digest(content), source);
+    }
+    return result.status;
+}
+
+void config_sync::impl::add_sources(std::uint64_t digest, const std::optional<core::endpoint>& peer)
+{
+    const bool is_known = fetcher.is_known(digest);
+    fetcher.add_source(digest, peer && directory.is_part_source(*peer) ? peer : std::nullopt);
+    if (peer && !is_known) {
+        // The notifier may be an agent of another service, which lacks the parts.
+        for (const auto& entry : directory.random_entries(random_part_sources, random)) {
+            fetcher.add_source(digest, entry);
+        }
+    }
+}
+
+void config_sync::impl::offer_part(core::time_point now, const std::string& key, const std::string& content,
+                                   const std::optional<core::endpoint>& source, action_list& actions)
+{
+    auto result = store.offer_part(key, content);
+    fetcher.on_answer(now, key);
+    if (result.status == detail::offer_status::mismatched && source) {
+        // A peer serves the parts of its own version, which may be another one.
+        result.error.reset();
+        fetcher.on_vain_answer(now, *source);
+    }
+    apply(now, result, source, actions);
+}
+
+void config_sync::impl::offer_fleet(const std::string& content, const std::optional<core::endpoint>& source,
+                                    action_list& actions)
+{
+    const auto result = store.offer_fleet(content);
+    if (result.error) {
+        actions.emplace_back(reject_configuration{result.error->number, result.error->what});
+    }
+    if (result.status == detail::offer_status::accepted) {
+        directory.update(store.current(), store.fleet());
+        actions.emplace_back(accept_fleet_view{store.fleet()});
+        notify_peers(source, actions);
+    }
+}
+
+void config_sync::impl::advance(core::time_point now, action_list& actions)
+{
+    const auto step = directory.is_reader() ? fetcher.advance(now, reader_max_wait, true)
+                                            : fetcher.advance(now, other_max_wait, false);
+    for (const auto& error : step.rejections) {
+        actions.emplace_back(reject_configuration{error.number, error.what});
+    }
+    for (const auto& request : step.requests) {
+        if (request.peer) {
+            pull(*request.peer, request.keys, actions);
+            continue;
+        }
+        for (const auto& key : request.keys) {
+            platform.read(now, key, false, actions);
+        }
+    }
+    if (step.is_index_doubtful) {
+        request_confirmation(now, actions);
+    }
+}
+
+void config_sync::impl::pull_by_time(core::time_point now, action_list& actions)
+{
+    if (now < next_pull) {
+        return;
+    }
+    next_pull = now + (store.current() ? config_pull_interval : start_pull_interval);
+    for (const auto& peer : directory.random_peers(1, random)) {
+        pull(peer, {}, actions);
+    }
+    if (!directory.is_reader()) {
+        std::uniform_int_distribution<std::size_t> pick(0, directory.zone_size() - 1);
+        if (pick(random) < safety_reads_per_interval) {
+            platform.read(now, std::string(index_key), true, actions);
+            platform.read(now, std::string(fleet_key), true, actions);
+        }
+    }
+}
+
+void config_sync::impl::answer_pull(const core::endpoint& peer, const wire::config_pullT& request, action_list& actions)
+{
+    wire::config_pushT body;
+    body.version = core::raw(store.version());
+    body.fleet_version = store.fleet_version();
+    body.sequence = request.sequence;
+    const auto add = [&body, this](const std::string& key) {
+        if (const auto* raw = store.find_raw(key)) {
+            auto value = std::make_unique<wire::config_valueT>();
+            value->key = key;
+            value->digest = raw->digest;
+            value->content.assign(raw->content->begin(), raw->content->end());
+            body.values.push_back(std::move(value));
+        }
+    };
+    bool is_answered = false;
+    for (const auto& key : request.parts) {
+        // One part in each message, since a frame holds little more than one value of 1 MB.
+        body.values.clear();
+        if (key.compare(0, part_key_prefix.size(), part_key_prefix) == 0) {
+            add(key);
+        }
+        if (!body.values.empty()) {
+            send(peer, body, actions);
+            is_answered = true;
+        }
+    }
+    if (!request.parts.empty()) {
+        if (!is_answered) {
+            // An empty answer lets the peer turn to another source at once.
+            send(peer, body, actions);
+        }
+        return;
+    }
+    if (body.version > request.have_version) {
+        add(std::string(index_key));
+    }
+    const bool is_fleet_newer = body.fleet_version > request.have_fleet_version;
+    const auto* fleet = is_fleet_newer ? store.find_raw(std::string(fleet_key)) : nullptr;
+    if (fleet != nullptr) {
+        const std::size_t held = body.values.empty() ? 0 : body.values.front()->content.size();
+        if (held + fleet->content->size() > max_value_size) {
+            send(peer, body, actions);
+            body.values.clear();
+        }
+        add(std::string(fleet_key));
+    }
+    send(peer, std::move(body), actions);
+}
+
+void config_sync::impl::on_push(core::time_point now, const core::endpoint& peer, const wire::config_pushT& push,
+                                action_list& actions)
+{
+    const core::config_version announced{push.version};
+    for (const auto& value : push.values) {
+        if (!value) {
+            continue;
+        }
+        const std::string content(value->content.begin(), value->content.end());
+        if (value->key == index_key) {
+            const auto status = offer_index(now, content, peer, actions);
+            if (status != detail::offer_status::added && store.version() < announced) {
+                claims[announced] = now + claim_retry_in_vain;
+            }
+        } else if (value->key == fleet_key) {
+            offer_fleet(content, peer, actions);
+        } else {
+            offer_part(now, value->key, content, peer, actions);
+        }
+    }
+    if (push.values.empty()) {
+        fetcher.on_vain_answer(now, peer);
+    }
+    const bool is_answer = push.sequence >= refresh_sequence && push.sequence < next_sequence;
+    if (refresh_until && is_answer && store.current() && announced == store.version()) {
+        confirm(actions);
+    }
+}
+
+void config_sync::impl::on_version(core::time_point now, const core::endpoint& peer, core::config_version version,
+                                   action_list& actions)
+{
+    if (version <= store.version()) {
+        return;
+    }
+    bool is_candidate = false;
+    for (const auto& info : store.candidates()) {
+        if (info.version == version) {
+            add_sources(info.digest, peer);
+            is_candidate = true;
+        }
+    }
+    const auto claim = claims.find(version);
+    if (is_candidate || (claim != claims.end() && now < claim->second)) {
+        return;
+    }
+    claims[version] = now + claim_retry;
+    pull(peer, {}, actions);
+}
+
+config_sync::config_sync(sync_options options, core::random_source random)
+    : m_impl(std::make_unique<impl>(std::move(options), random))
+{
+    m_impl->directory.update(nullptr, nullptr);
+}
+
+config_sync::~config_sync() = default;
+
+void config_sync::on_start(core::time_point now, std::vector<sync_action>& actions)
+{
+    for (const auto& peer : m_impl->options.bootstrap_peers) {
+        m_impl->pull(peer, {}, actions);
+    }
+    m_impl->platform.keep_watch(now, std::string(index_key), actions);
+    m_impl->platform.keep_watch(now, std::string(fleet_key), actions);
+    // Spreads the pulls of processes that start together.
+    std::uniform_int_distribution<core::duration::rep> delay(0, core::duration(start_pull_interval).count());
+    m_impl->next_pull = now + start_pull_interval + core::duration(delay(m_impl->random));
+}
+
+void config_sync::on_tick(core::time_point now, std::vector<sync_action>& actions)
+{
+    if (m_impl->refresh_until && now >= *m_impl->refresh_until) {
+        m_impl->refresh_until.reset();
+    }
+    for (auto it = m_impl->claims.begin(); it != m_impl->claims.end();) {
+        it = now >= it->second ? m_impl->claims.erase(it) : std::next(it);
+    }
+    if (m_impl->directory.is_reader()) {
+        m_impl->platform.keep_watch(now, std::string(index_key), actions);
+        m_impl->platform.keep_watch(now, std::string(fleet_key), actions);
+    }
+    m_impl->pull_by_time(now, actions);
+    m_impl->advance(now, actions);
+}
+
+void config_sync::on_platform_value(core::time_point now, const std::string& key, std::uint64_t value_version,
+                                    const std::string& content, std::vector<sync_action>& actions)
+{
+    const bool is_unchanged = m_impl->platform.on_value(now, key, value_version);
+    if (key == index_key) {
+        const auto status = m_impl->offer_index(now, content, std::nullopt, actions);
+        const bool is_late = std::exchange(m_impl->reads_before_refresh, 0) > 0;
+        if (m_impl->refresh_until && status == detail::offer_status::current && is_unchanged && !is_late) {
+            m_impl->confirm(actions);
+        }
+    } else if (key == fleet_key) {
+        m_impl->offer_fleet(content, std::nullopt, actions);
+    } else {
+        m_impl->offer_part(now, key, content, std::nullopt, actions);
+    }
+    m_impl->advance(now, actions);
+}
+
+void config_sync::on_platform_failure(core::time_point now, const std::string& key, bool unchanged,
+                                      std::vector<sync_action>& actions)
+{
+    m_impl->platform.on_failure(now, key, unchanged);
+    m_impl->fetcher.on_answer(now, key);
+    m_impl->advance(now, actions);
+}
+
+void config_sync::on_peer_message(core::time_point now, const core::endpoint& peer, const wire::peer_messageT& message,
+                                  std::vector<sync_action>& actions)
+{
+    if (const auto* notice = message.body.Asconfig_notice()) {
+        on_version_seen(now, peer, core::config_version{notice->version}, actions);
+        if (notice->fleet_version > m_impl->store.fleet_version()) {
+            m_impl->pull(peer, {}, actions);
+        }
+    } else if (const auto* request = message.body.Asconfig_pull()) {
+        m_impl->answer_pull(peer, *request, actions);
+    } else if (const auto* push = message.body.Asconfig_push()) {
+        m_impl->on_push(now, peer, *push, actions);
+    }
+    m_impl->on_version(now, peer, core::config_version{message.config_version}, actions);
+    m_impl->advance(now, actions);
+}
+
+void config_sync::on_version_seen(core::time_point now, const core::endpoint& peer, core::config_version version,
+                                  std::vector<sync_action>& actions)
+{
+    m_impl->on_version(now, peer, version, actions);
+}
+
+void config_sync::refresh(core::time_point now, std::vector<sync_action>& actions)
+{
+    m_impl->refresh_until = now + refresh_lifetime;
+    m_impl->refresh_sequence = m_impl->next_sequence;
+    m_impl->reads_before_refresh = m_impl->platform.pending_reads(std::string(index_key));
+    m_impl->request_confirmation(now, actions);
+}
+
+snapshot_ptr config_sync::current() const noexcept { return m_impl->store.current(); }
+fleet_view_ptr config_sync::fleet() const noexcept { return m_impl->store.fleet(); }
+bool config_sync::is_reader() const noexcept { return m_impl->directory.is_reader(); }
+std::uint64_t config_sync::platform_calls() const noexcept { return m_impl->platform.calls(); }
+
+} // namespace daisydoor::config
--- /dev/null
+++ b/src/config/part_fetcher.cpp
@@ -0,0 +1,123 @@
+#include "part_fetcher.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::config::detail
+{
+
+namespace
+{
+
+/// Time without any part after which the next source is tried.
+constexpr core::milliseconds source_timeout{1000};
+constexpr std::size_t max_sources = 8;
+/// Bounds the burst on the platform when many processes start at once.
+constexpr std::size_t max_platform_reads = 8;
+constexpr std::size_t max_pulled_parts = 64;
+
+} // namespace
+
+void part_fetcher::add_source(std::uint64_t digest, const std::optional<core::endpoint>& peer)
+{
+    auto [it, is_new] = m_fetches.try_emplace(digest);
+    auto& state = it->second;
+    if (is_new) {
+        state.timeout = source_timeout;
+    }
+    if (!peer || state.peers.size() >= max_sources ||
+        std::find(state.peers.begin(), state.peers.end(), *peer) != state.peers.end()) {
+        return;
+    }
+    const bool was_platform = !is_new && state.source == state.peers.size();
+    state.peers.push_back(*peer);
+    if (state.timeout > source_timeout) {
+        // All earlier sources failed.
+        state.source = state.peers.size() - 1;
+        state.timeout = source_timeout;
+        state.retry_at.reset();
+        state.in_flight.clear();
+    } else if (was_platform) {
+        state.source = state.peers.size();
+    }
+}
+
+void part_fetcher::on_answer(core::time_point now, const std::string& key)
+{
+    for (auto& [digest, state] : m_fetches) {
+        if (state.in_flight.erase(key) == 0) {
+            continue;
+        }
+        const auto missing = m_store.missing_parts(digest);
+        if (std::find(missing.begin(), missing.end(), key) != missing.end()) {
+            // Not the wanted content: the source is left at its timeout, so that a bad part causes no burst of reads.
+            continue;
+        }
+        if (state.in_flight.empty()) {
+            state.retry_at.reset();
+        } else {
+            state.retry_at = now + state.timeout;
+        }
+    }
+}
+
+void part_fetcher::on_vain_answer(core::time_point now, const core::endpoint& peer)
+{
+    for (auto& [digest, state] : m_fetches) {
+        // The last peer is left at its timeout, so that a round over all sources takes at least that long.
+        if (state.source + 1 < state.peers.size() && state.peers[state.source] == peer) {
+            state.retry_at = now;
+        }
+    }
+}
+
+void part_fetcher::forget_finished()
+{
+    const auto candidates = m_store.candidates();
+    for (auto it = m_fetches.begin(); it != m_fetches.end();) {
+        const bool is_open = std::any_of(candidates.begin(), candidates.end(),
+                                         [&it](const auto& info) { return info.digest == it->first; });
+        it = is_open ? std::next(it) : m_fetches.erase(it);
+    }
+}
+
+void part_fetcher::next_source(fetch& state, std::uint64_t digest, core::duration max_wait, bool is_reader,
+                               step& result)
+{
+    const bool skips_platform = !is_reader && !state.peers.empty() && state.timeout <= source_timeout;
+    state.source = (state.source + 1) % (state.peers.size() + (skips_platform ? 0 : 1));
+    if (state.source != 0) {
+        return;
+    }
+    state.timeout = std::min<core::duration>(2 * state.timeout, max_wait);
+    result.is_index_doubtful = true;
+    if (auto error = m_store.report_missing_part(digest)) {
+        result.rejections.push_back(std::move(*error));
+    }
+}
+
+part_fetcher::step part_fetcher::advance(core::time_point now, core::duration max_wait, bool is_reader)
+{
+    forget_finished();
+    step result;
+    for (auto& [digest, state] : m_fetches) {
+        if (state.retry_at) {
+            if (now < *state.retry_at) {
+                continue;
+            }
+            next_source(state, digest, max_wait, is_reader, result);
+        }
+        part_request request;
+        request.keys = m_store.missing_parts(digest);
+        const bool is_peer = state.source < state.peers.size();
+        if (is_peer) {
+            request.peer = state.peers[state.source];
+        }
+        request.keys.resize(std::min(request.keys.size(), is_peer ? max_pulled_parts : max_platform_reads));
+        state.in_flight = {request.keys.begin(), request.keys.end()};
+        state.retry_at = now + state.timeout;
+        result.requests.push_back(std::move(request));
+    }
+    return result;
+}
+
+} // namespace daisydoor::config::detail
--- /dev/null
+++ b/src/config/platform_reader.cpp
@@ -0,0 +1,90 @@
+#include "platform_reader.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisydoor::config::detail
+{
+
+namespace
+{
+
+/// A waiting watch counts as one read, so longer waits save reads; kept below the idle timeout of common HTTP proxies.
+constexpr core::milliseconds watch_wait{20000};
+constexpr core::milliseconds watch_grace{10000};
+constexpr core::milliseconds first_backoff{1000};
+/// Without a fleet view every process reads the platform, which a whole fleet must not overload at its return.
+constexpr core::milliseconds max_backoff{16000};
+
+} // namespace
+
+void platform_reader::read(core::time_point /*now*/, const std::string& key, bool only_if_newer,
+                           std::vector<sync_action>& actions)
+{
+    auto& state = m_keys[key];
+    ++m_calls;
+    const auto after = only_if_newer ? state.seen : std::nullopt;
+    state.pending_reads += after ? 0 : 1;
+    actions.emplace_back(read_platform_value{key, after, core::milliseconds(0)});
+}
+
+void platform_reader::keep_watch(core::time_point now, const std::string& key, std::vector<sync_action>& actions)
+{
+    auto& state = m_keys[key];
+    if (state.watch_lost_at && now >= *state.watch_lost_at) {
+        state.watch_lost_at.reset();
+        state.pending_reads = 0;
+    }
+    if (state.watch_lost_at || now < state.next_watch) {
+        return;
+    }
+    state.watch_lost_at = now + watch_wait + watch_grace;
+    ++m_calls;
+    actions.emplace_back(read_platform_value{key, state.seen, state.seen ? watch_wait : core::milliseconds(0)});
+}
+
+bool platform_reader::on_value(core::time_point now, const std::string& key, std::uint64_t value_version)
+{
+    auto& state = m_keys[key];
+    const bool is_unchanged = state.seen == value_version;
+    // A watch is only answered by a newer value; anything else is the answer to a single read.
+    if (state.watch_lost_at && (!state.seen || value_version > *state.seen)) {
+        state.watch_lost_at.reset();
+    } else if (state.pending_reads > 0) {
+        --state.pending_reads;
+    }
+    if (!state.seen || value_version > *state.seen) {
+        state.seen = value_version;
+    } else if (!is_unchanged) {
+        // A stale replica answers with older values; the next watch waits for a newer one.
+        state.next_watch = std::max(state.next_watch, now + first_backoff);
+    }
+    state.backoff = {};
+    return is_unchanged;
+}
+
+void platform_reader::on_failure(core::time_point now, const std::string& key, bool unchanged)
+{
+    auto& state = m_keys[key];
+    const auto lost_at = std::exchange(state.watch_lost_at, std::nullopt);
+    if (unchanged) {
+        state.backoff = {};
+        if (lost_at) {
+            // A platform that does not wait must not be asked again at once.
+            state.next_watch = *lost_at - watch_grace - watch_wait + first_backoff;
+        }
+        return;
+    }
+    state.pending_reads = 0;
+    state.backoff = std::clamp<core::duration>(2 * state.backoff, first_backoff, max_backoff);
+    std::uniform_int_distribution<core::duration::rep> jitter(0, state.backoff.count() / 2);
+    state.next_watch = now + state.backoff / 2 + core::duration(jitter(m_random)) + state.backoff / 4;
+}
+
+std::size_t platform_reader::pending_reads(const std::string& key) const
+{
+    const auto it = m_keys.find(key);
+    return it != m_keys.end() ? it->second.pending_reads : 0;
+}
+
+} // namespace daisydoor::config::detail
