Add the admin server with state dump and metrics

Operators need to see what a process decided on and how often it dropped or refused. Every task hands out its counters through the registry; libevhtp serves them as JSON and as Prometheus text.

A cancelled exchange now reports whether a byte was sent, and a drain that the configuration takes back stops the exit timer.

--- /dev/null
+++ b/include/daisydoor/runtime/detail/admin_task.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "daisydoor/runtime/detail/metrics.hpp"
+#include "daisydoor/runtime/events.hpp"
+#include "daisydoor/runtime/kernel.hpp"
+#include "daisydoor/runtime/messages.hpp"
+#include "daisydoor/runtime/settings.hpp"
+
+#include <map>
+#include <memory>
+
+struct evhtp;
+struct evhtp_request;
+
+namespace daisydoor::runtime::detail
+{
+
+/// @brief HTTP server of the operators: `/dump` (JSON) and `/metrics` (Prometheus text). It offers no changes.
+class admin_task : public task
+{
+  public:
+    /// @throws runtime_error with errc::admin_failed if the address cannot be bound.
+    admin_task(kernel& owner, const settings& values);
+    ~admin_task() override;
+
+    void start() override;
+
+  private:
+    struct server_deleter
+    {
+        void operator()(evhtp* value) const noexcept;
+    };
+
+    static void on_request(evhtp_request* request, void* self);
+    void answer(evhtp_request* request);
+    std::string dump(const char* service);
+    std::string metrics_text();
+    std::map<std::string, collect_values> collect();
+    void reject(evhtp_request* request, int status, const char* path);
+
+    kernel& m_kernel;
+    settings m_settings;
+    core::time_point m_started_at;
+    std::unique_ptr<evhtp, server_deleter> m_server;
+    metrics m_metrics;
+    rate_limit m_reject_log{1'000'000'000};
+    std::map<std::string, port<collect_values>> m_tasks;
+    port<collect_state> m_state;
+};
+
+} // namespace daisydoor::runtime::detail
--- a/include/daisydoor/runtime/detail/http_client.hpp
+++ b/include/daisydoor/runtime/detail/http_client.hpp
@@ -68,7 +68,8 @@
     std::uint64_t start(http_request request, done_handler done);
 
     /// @brief Closes the exchange's connection. `done` is not called. Does nothing if the exchange has ended.
-    void cancel(std::uint64_t id);
+    /// @returns whether a byte of the request may have been sent
+    bool cancel(std::uint64_t id);
 
     [[nodiscard]] std::size_t in_flight() const noexcept { return m_exchanges.size(); }
 
--- a/include/daisydoor/runtime/events.hpp
+++ b/include/daisydoor/runtime/events.hpp
@@ -24,6 +24,7 @@
     drain_started,
     drain_finished,
     drain_timeout,
+    drain_cancelled,
     unexpected_exception,
     configuration_accepted,
     configuration_rejected,
@@ -53,13 +54,14 @@
 };
 
 /// @brief Table of all log events; docs/events.md lists the same numbers, severities and texts.
-constexpr std::array<log_event_info, 23> log_events{{
+constexpr std::array<log_event_info, 24> log_events{{
     {1001, severity::info, "process started"},
     {1002, severity::info, "process stopped"},
     {1003, severity::info, "drain started"},
     {1004, severity::info, "drain finished"},
     {1005, severity::warning, "drain timeout ended with flows left"},
-    {1006, severity::error, "unexpected exception in an event handler"},
+    {1006, severity::info, "drain cancelled"},
+    {1099, severity::error, "unexpected exception in an event handler"},
     {1101, severity::info, "configuration accepted"},
     {1102, severity::error, "published configuration rejected"},
     {1103, severity::info, "fleet view accepted"},
--- a/src/runtime/agent_task.cpp
+++ b/src/runtime/agent_task.cpp
@@ -182,10 +182,16 @@
 
 void agent_task::watch_drain()
 {
-    if (m_draining || m_core.context().own.state != wire::agent_state::draining) {
+    const bool draining = m_core.context().own.state == wire::agent_state::draining;
+    if (draining == m_draining) {
+        return;
+    }
+    m_draining = draining;
+    if (!draining) {
+        write_log(log_event::drain_cancelled, "the host is no longer marked as leaving");
+        m_drain_timer.remove();
         return;
     }
-    m_draining = true;
     write_log(log_event::drain_started, std::to_string(m_core.gauges().flows) + " flows");
     m_drain_timer = io_event(m_kernel.base(), [this] {
         write_log(log_event::drain_timeout, std::to_string(m_core.gauges().flows) + " flows");
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daisydoor/runtime/daemon.hpp"
 
+#include "daisydoor/runtime/detail/admin_task.hpp"
 #include "daisydoor/runtime/detail/agent_task.hpp"
 #include "daisydoor/runtime/detail/config_task.hpp"
 #include "daisydoor/runtime/detail/entry_task.hpp"
@@ -109,6 +110,7 @@
     owner.add(std::make_unique<detail::platform_task>(owner, values.platform));
     owner.add(std::make_unique<detail::config_task>(owner, make_sync_options(values), make_random()));
     add_role_task(owner, values, incarnation);
+    owner.add(std::make_unique<detail::admin_task>(owner, values));
     owner.add(std::make_unique<signal_task>(owner));
 }
 
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -160,12 +160,16 @@
     return id;
 }
 
-void http_client::cancel(std::uint64_t id)
+bool http_client::cancel(std::uint64_t id)
 {
-    if (const auto it = m_exchanges.find(id); it != m_exchanges.end()) {
-        it->second->done = nullptr;
-        finish(*it->second, {}, false);
+    const auto it = m_exchanges.find(id);
+    if (it == m_exchanges.end()) {
+        return true;
     }
+    const bool bytes_sent = it->second->bytes_sent;
+    it->second->done = nullptr;
+    finish(*it->second, {}, false);
+    return bytes_sent;
 }
 
 void http_client::on_timeout(std::uint64_t id)
--- a/src/runtime/target_task.cpp
+++ b/src/runtime/target_task.cpp
@@ -127,9 +127,10 @@
         return;
     }
     ++m_counters.cancelled;
-    m_client.cancel(it->second);
+    const bool bytes_sent = m_client.cancel(it->second);
     m_exchanges.erase(it);
-    m_finished.post({id, {agent::exchange_status::broken, 0, {}}});
+    m_finished.post(
+        {id, {bytes_sent ? agent::exchange_status::broken : agent::exchange_status::connect_failed, 0, {}}});
 }
 
 void target_task::open_feed(const agent::open_feed& message)
