--- a/include/daisydoor/caller/client.hpp
+++ b/include/daisydoor/caller/client.hpp
@@ -120,6 +120,9 @@
     /// @brief Token of the current flow; it changes when the session moves to another agent.
     [[nodiscard]] const wire::flow_token& token() const noexcept;
 
+    /// @brief How often the session lost its flow and had to open another; planned moves do not count.
+    [[nodiscard]] std::uint64_t broken_flows() const noexcept;
+
   private:
     class impl;
     std::shared_ptr<impl> m_impl;
--- a/src/caller/client.cpp
+++ b/src/caller/client.cpp
@@ -80,6 +80,8 @@
 
 core::event_id client::last_event() const noexcept { return m_impl->state().last_event(); }
 
+std::uint64_t client::broken_flows() const noexcept { return m_impl->broken_flows(); }
+
 const wire::flow_token& client::token() const noexcept { return m_impl->state().token(); }
 
 } // namespace daisydoor::caller
--- a/src/caller/client_impl.cpp
+++ b/src/caller/client_impl.cpp
@@ -12,6 +12,8 @@
 
 /// Resolution of the session's timers; a fifth of the shortest one, the first retransmission after 100 ms.
 constexpr timeval tick_interval{0, 20'000};
+/// A closed session repeats its close for this long; the agent's idle timeout ends the flow if all are lost.
+constexpr core::milliseconds close_repeat_time{2000};
 /// The session reports an outcome by the deadline; a blocking call waits this much longer before it gives up.
 constexpr core::milliseconds blocking_grace{5000};
 
@@ -153,7 +155,7 @@
     session_actions actions;
     m_session.close(core::clock::now(), actions);
     apply(actions);
-    event_del(m_tick);
+    m_last_tick = core::clock::now() + close_repeat_time;
     m_event_handler = nullptr;
     m_open_handler = nullptr;
     const auto requests = std::move(m_requests);
@@ -180,8 +182,13 @@
 
 void client::impl::on_tick()
 {
+    const auto now = core::clock::now();
+    if (!m_is_started && now >= m_last_tick) {
+        event_del(m_tick);
+        return;
+    }
     session_actions actions;
-    m_session.on_tick(core::clock::now(), actions);
+    m_session.on_tick(now, actions);
     apply(actions);
 }
 
@@ -190,6 +197,11 @@
     for (const auto& it : actions) {
         apply(it);
     }
+    const bool has_flow = m_session.is_open();
+    if (m_is_started && m_had_flow && !has_flow) {
+        ++m_broken_flows;
+    }
+    m_had_flow = has_flow;
 }
 
 void client::impl::apply(const session_action& action)
--- a/src/caller/client_impl.hpp
+++ b/src/caller/client_impl.hpp
@@ -39,6 +39,7 @@
     void require_own_loop() const;
 
     [[nodiscard]] const session& state() const noexcept { return m_session; }
+    [[nodiscard]] std::uint64_t broken_flows() const noexcept { return m_broken_flows; }
     [[nodiscard]] core::milliseconds open_timeout() const noexcept { return m_open_timeout; }
 
   private:
@@ -66,6 +67,10 @@
     event* m_delivery = nullptr;
     bool m_was_opened = false;
     bool m_is_started = false;
+    bool m_had_flow = false;
+    std::uint64_t m_broken_flows = 0;
+    /// After close(), ticks go on until then, because the session repeats its close against loss.
+    core::time_point m_last_tick{};
     std::deque<delivery> m_deliveries;
     open_handler m_open_handler;
     event_handler m_event_handler;
--- a/tests/standins/common/loop.cpp
+++ b/tests/standins/common/loop.cpp
@@ -7,12 +7,12 @@
 
 timeval to_timeval(core::milliseconds value) noexcept { return {value.count() / 1000, (value.count() % 1000) * 1000}; }
 
-loop::loop() : m_base(event_base_new())
+loop::loop() : m_base(event_base_new()), m_on_signal([this] { stop(); })
 {
     std::signal(SIGPIPE, SIG_IGN);
     for (const int number : {SIGINT, SIGTERM}) {
         event* ev = evsignal_new(
-            m_base, number, [](evutil_socket_t, short, void* self) { static_cast<loop*>(self)->stop(); }, this);
+            m_base, number, [](evutil_socket_t, short, void* self) { static_cast<loop*>(self)->m_on_signal(); }, this);
         evsignal_add(ev, nullptr);
         m_signals.push_back(ev);
     }
--- a/tests/standins/common/loop.hpp
+++ b/tests/standins/common/loop.hpp
@@ -25,6 +25,8 @@
     [[nodiscard]] event_base* base() const noexcept { return m_base; }
     void run();
     void stop();
+    /// @brief Replaces what SIGINT and SIGTERM do.
+    void on_signal(callback fn) { m_on_signal = std::move(fn); }
     /// @brief Runs `fn` once after `delay`.
     void after(core::milliseconds delay, callback fn);
     /// @brief Runs `fn` every `period` until the loop is destroyed.
@@ -38,6 +40,7 @@
     };
 
     event_base* m_base;
+    callback m_on_signal;
     std::vector<event*> m_signals;
     std::vector<std::unique_ptr<timer>> m_timers;
 };
