--- /dev/null
+++ b/apps/daisydoorctl/main.cpp
@@ -0,0 +1,101 @@
+#include "commands.hpp"
+#include "daisydoor/runtime/daemon.hpp"
+
+#include <CLI/CLI.hpp>
+#include <exception>
+#include <functional>
+#include <iostream>
+
+namespace
+{
+
+using daisydoor::runtime::exit_code;
+
+/// Values that the options of all commands are parsed into.
+struct arguments
+{
+    std::string admin;
+    std::string service;
+    std::string path;
+    daisydoorctl::call_arguments call;
+    daisydoorctl::post_arguments post;
+    daisydoorctl::feed_arguments feed;
+};
+
+void add_admin_commands(CLI::App& app, arguments& values, std::function<int()>& command)
+{
+    const std::string address = "Admin address of a process, IP:PORT";
+    auto* dump = app.add_subcommand("dump", "Print the state of a process as JSON");
+    dump->add_option("ADDRESS", values.admin, address)->required();
+    dump->add_option("--service", values.service, "Only this service id, with all its hosts");
+    dump->callback([&] { command = [&] { return daisydoorctl::dump(values.admin, values.service); }; });
+    auto* metrics = app.add_subcommand("metrics", "Print the metrics of a process as Prometheus text");
+    metrics->add_option("ADDRESS", values.admin, address)->required();
+    metrics->callback([&] { command = [&] { return daisydoorctl::metrics(values.admin); }; });
+    auto* check = app.add_subcommand("check", "Check a settings file or a folder of published values");
+    check->add_option("PATH", values.path, "Settings file, or folder with the file 'index'")->required();
+    check->callback([&] { command = [&] { return daisydoorctl::check(values.path); }; });
+    auto* services = app.add_subcommand("services", "List the services that a process knows");
+    services->add_option("ADDRESS", values.admin, address)->required();
+    services->callback([&] { command = [&] { return daisydoorctl::services(values.admin); }; });
+    auto* preset = app.add_subcommand("preset", "Print the preset in force for a service and its values");
+    preset->add_option("ADDRESS", values.admin, address)->required();
+    preset->add_option("SERVICE", values.service, "Name or id of the service")->required();
+    preset->callback([&] { command = [&] { return daisydoorctl::preset(values.admin, values.service); }; });
+}
+
+void add_call_options(CLI::App& command, daisydoorctl::call_arguments& values, bool with_deadline)
+{
+    command.add_option("ADDRESS", values.service, "Published address of the service, IP:PORT")->required();
+    command.add_option("PATH", values.path, "Path at the target")->required();
+    command.add_option("--tenant", values.tenant, "Tenant id")->capture_default_str();
+    if (with_deadline) {
+        command.add_option("--deadline-ms", values.deadline_ms, "Time limit of the request")
+            ->check(CLI::Range(1, 3'600'000))
+            ->capture_default_str();
+    }
+}
+
+void add_call_commands(CLI::App& app, arguments& values, std::function<int()>& command)
+{
+    auto* call = app.add_subcommand("call", "Send an idempotent request");
+    add_call_options(*call, values.call, true);
+    call->callback([&] { command = [&] { return daisydoorctl::call(values.call); }; });
+    auto* post = app.add_subcommand("post", "Send a posting, which runs at most once");
+    add_call_options(*post, values.post, true);
+    auto* data = post->add_option("--data", values.post.data, "Payload");
+    post->add_option("--file", values.post.file, "File with the payload")->excludes(data);
+    post->callback([&] { command = [&] { return daisydoorctl::post(values.post); }; });
+    auto* feed = app.add_subcommand("feed", "Follow a feed; prints 'ID DATA' for each event");
+    add_call_options(*feed, values.feed, false);
+    feed->add_option("--last-event", values.feed.last_event, "Start after this event id; 0 starts with the next event");
+    feed->add_option("--count", values.feed.count, "End after this many events; 0 means no limit");
+    feed->add_option("--time-s", values.feed.time_s, "End after this time")
+        ->check(CLI::Range(1, 86'400))
+        ->capture_default_str();
+    feed->callback([&] { command = [&] { return daisydoorctl::feed(values.feed); }; });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Command-line tool of the daisydoor load balancer.", "daisydoorctl");
+    app.set_version_flag("--version", "daisydoorctl " DAISYDOOR_VERSION);
+    app.require_subcommand(1);
+    arguments values;
+    std::function<int()> command;
+    add_admin_commands(app, values, command);
+    add_call_commands(app, values, command);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? static_cast<int>(exit_code::ok) : static_cast<int>(exit_code::usage);
+    }
+    try {
+        return command();
+    } catch (const std::exception& e) {
+        std::cerr << "daisydoorctl: " << e.what() << '\n';
+        return static_cast<int>(exit_code::runtime_failure);
+    }
+}
--- a/include/daisydoor/runtime/detail/link_task.hpp
+++ b/include/daisydoor/runtime/detail/link_task.hpp
@@ -56,6 +56,7 @@
     void send_host(const send_to_host& message);
     void send_endpoint(const send_to_endpoint& message);
     peer_link* find_link(const core::endpoint& remote);
+    peer_link* find_dialled(const core::endpoint& remote);
     void on_tick();
     void dial_mesh(core::time_point now);
     core::milliseconds next_backoff(core::milliseconds previous);
--- a/include/daisydoor/runtime/error.hpp
+++ b/include/daisydoor/runtime/error.hpp
@@ -12,10 +12,10 @@
     event_loop_failed = 503,
     bind_failed = 504,
     admin_failed = 505,
-    caller_client_missing = 506,
-    admin_unreachable = 507,
-    bad_admin_answer = 508,
-    bad_published_value = 509,
+    admin_unreachable = 506,
+    bad_admin_answer = 507,
+    unknown_published_service = 508,
+    unreadable_folder = 509,
 };
 
 /// @brief Errors of sockets, tasks and the event loop, numbers 500-599.
--- a/src/runtime/link_task.cpp
+++ b/src/runtime/link_task.cpp
@@ -181,7 +181,7 @@
     std::vector<peer_link*> leaving;
     for (const auto& [host, link] : m_mesh) {
         const auto it = targets.find(host);
-        if (it == targets.end() || (link->is_dialled() && it->second.dialled != link)) {
+        if (it == targets.end() || (link->is_dialled() && it->second.address != link->remote())) {
             leaving.push_back(link);
         }
     }
@@ -216,6 +216,14 @@
     return found;
 }
 
+peer_link* link_task::find_dialled(const core::endpoint& remote)
+{
+    const auto it = std::find_if(m_links.begin(), m_links.end(), [&remote](const auto& pair) {
+        return !pair.first->is_closed() && pair.first->is_dialled() && pair.first->remote() == remote;
+    });
+    return it == m_links.end() ? nullptr : it->first;
+}
+
 void link_task::send_endpoint(const send_to_endpoint& message)
 {
     if (message.peer == m_options.listen || message.peer.empty()) {
@@ -255,7 +263,13 @@
 void link_task::dial_mesh(core::time_point now)
 {
     for (auto& [host, target] : m_targets) {
-        if (m_options.hello.host < core::raw(host) && target.dialled == nullptr && now >= target.next_dial) {
+        if (m_options.hello.host >= core::raw(host) || target.dialled != nullptr || now < target.next_dial) {
+            continue;
+        }
+        // The configuration exchange may have dialled the peer already. A second link would take the place of the
+        // first one at the peer, which looks like a lost link to both agents.
+        target.dialled = find_dialled(target.address);
+        if (target.dialled == nullptr) {
             target.dialled = dial(target.address);
         }
     }
--- /dev/null
+++ b/tests/unit/unit-runtime-settings.cpp
@@ -0,0 +1,180 @@
+#include "daisydoor/runtime/settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace daisydoor::runtime
+{
+namespace
+{
+
+constexpr const char* entry_text = R"(role: entry
+zone: zone-a
+listen: 127.0.0.2:7000
+admin: 127.0.0.2:7001
+return_path: 127.0.0.1:6000
+platform: 127.0.0.1:5000
+bootstrap_peers: [127.0.0.3:7000]
+)";
+constexpr const char* agent_section = R"(agent:
+  host: 11
+  service: 1
+  target: 127.0.0.11:8000
+)";
+
+class settings_test : public ::testing::Test
+{
+  protected:
+    /// Replaces one line of the valid settings, or appends a line if `from` is empty.
+    static std::string changed(std::string text, const std::string& from, const std::string& to)
+    {
+        if (from.empty()) {
+            return text + to + '\n';
+        }
+        const auto begin = text.find(from);
+        EXPECT_NE(begin, std::string::npos) << from;
+        return text.replace(begin, text.find('\n', begin) - begin, to);
+    }
+
+    static std::string agent_text() { return changed(entry_text, "role:", "role: agent") + agent_section; }
+
+    static std::vector<settings_problem> problems_of(const std::string& text)
+    {
+        try {
+            parse_settings(text, "x.yaml");
+        } catch (const settings_error& e) {
+            return e.problems();
+        }
+        return {};
+    }
+
+    static void expect_single(const std::string& text, settings_errc code, int line, const std::string& field)
+    {
+        const auto problems = problems_of(text);
+        ASSERT_EQ(problems.size(), 1U) << text;
+        EXPECT_EQ(problems[0].code, code) << text << problems[0].what;
+        EXPECT_EQ(problems[0].line, line) << text;
+        EXPECT_EQ(problems[0].field, field) << text;
+        EXPECT_FALSE(problems[0].what.empty());
+    }
+};
+
+// Guards against a parser that rejects or misreads the documented settings.
+TEST_F(settings_test, parse_valid_settings_read)
+{
+    const auto entry = parse_settings(entry_text, "x.yaml");
+    EXPECT_EQ(entry.role, role::entry);
+    EXPECT_EQ(entry.zone, "zone-a");
+    EXPECT_EQ(core::to_string(entry.admin), "127.0.0.2:7001");
+    ASSERT_EQ(entry.bootstrap_peers.size(), 1U);
+    EXPECT_FALSE(entry.agent);
+    const auto agent = parse_settings(agent_text() + "  drain_timeout_s: 7\nlog_level: error\n", "x.yaml");
+    EXPECT_EQ(agent.role, role::agent);
+    EXPECT_EQ(agent.log_level, log_level::error);
+    ASSERT_TRUE(agent.agent);
+    EXPECT_EQ(core::raw(agent.agent->host), 11U);
+    EXPECT_EQ(agent.agent->drain_timeout, core::seconds(7));
+    EXPECT_EQ(parse_settings(agent_text(), "x.yaml").agent->drain_timeout, core::seconds(300));
+}
+
+// Guards against a typing error in a key that silently leaves a default in force.
+TEST_F(settings_test, parse_unknown_or_repeated_key_rejected)
+{
+    expect_single(changed(entry_text, "", "logg_level: info"), settings_errc::unknown_key, 8, "logg_level");
+    expect_single(agent_text() + "  hosts: 3\n", settings_errc::unknown_key, 12, "agent.hosts");
+    expect_single(changed(entry_text, "", "zone: zone-b"), settings_errc::duplicate, 8, "zone");
+    expect_single(changed(entry_text, "bootstrap", "bootstrap_peers: [127.0.0.3:7000, 127.0.0.3:7000]"),
+                  settings_errc::duplicate, 7, "bootstrap_peers[1]");
+    expect_single(changed(entry_text, "admin", "admin: 127.0.0.2:7000"), settings_errc::duplicate, 4, "admin");
+}
+
+// Guards against a process that starts without an address or a zone.
+TEST_F(settings_test, parse_missing_key_rejected)
+{
+    for (const char* key : {"role", "zone", "listen", "admin", "return_path", "platform"}) {
+        std::string text = changed(entry_text, std::string(key) + ":", "# removed");
+        const auto problems = problems_of(text);
+        ASSERT_EQ(problems.size(), 1U) << key;
+        EXPECT_EQ(problems[0].code, settings_errc::missing_key);
+        EXPECT_EQ(problems[0].field, key);
+    }
+    expect_single(changed(agent_text(), "  target:", "  # removed"), settings_errc::missing_key, 9, "agent.target");
+}
+
+// Guards against host names, wildcard addresses and ports that no peer can reach.
+TEST_F(settings_test, parse_address_not_of_one_host_rejected)
+{
+    for (const char* text : {"localhost:7000", "127.0.0.2", "127.0.0.2:0", "127.0.0.2:65536", "127.0.0.256:1",
+                             "0.0.0.0:7000", "'[::]:7000'", "''"}) {
+        expect_single(changed(entry_text, "listen", std::string("listen: ") + text), settings_errc::bad_address, 3,
+                      "listen");
+    }
+    EXPECT_TRUE(problems_of(changed(entry_text, "listen", "listen: '[::1]:7000'")).empty());
+}
+
+// Guards against numbers that are cut off or wrap around when they are stored.
+TEST_F(settings_test, parse_number_outside_range_rejected)
+{
+    for (const char* text : {"0", "-1", "4294967296", "99999999999999999999"}) {
+        expect_single(changed(agent_text(), "  host:", std::string("  host: ") + text), settings_errc::out_of_range, 9,
+                      "agent.host");
+    }
+    expect_single(agent_text() + "  drain_timeout_s: 86401\n", settings_errc::out_of_range, 12,
+                  "agent.drain_timeout_s");
+}
+
+// Guards against values of another type that a lenient conversion would accept.
+TEST_F(settings_test, parse_wrong_type_rejected)
+{
+    for (const char* text : {"11x", "1.5", "[11]", "0x0b", "''", "~x"}) {
+        expect_single(changed(agent_text(), "  host:", std::string("  host: ") + text), settings_errc::wrong_type, 9,
+                      "agent.host");
+    }
+    expect_single(changed(entry_text, "bootstrap", "bootstrap_peers: 127.0.0.3:7000"), settings_errc::wrong_type, 7,
+                  "bootstrap_peers");
+    expect_single(changed(entry_text, "zone", "zone: {a: b}"), settings_errc::wrong_type, 2, "zone");
+    expect_single("- a\n", settings_errc::wrong_type, 1, "");
+    expect_single("", settings_errc::wrong_type, 0, "");
+}
+
+// Guards against a name outside its enumeration, and against agent settings that an entry would ignore.
+TEST_F(settings_test, parse_bad_name_or_role_rejected)
+{
+    expect_single(changed(entry_text, "role", "role: mux"), settings_errc::unknown_name, 1, "role");
+    expect_single(changed(entry_text, "", "log_level: loud"), settings_errc::unknown_name, 8, "log_level");
+    expect_single(std::string(entry_text) + agent_section, settings_errc::role_mismatch, 9, "agent");
+    expect_single(changed(entry_text, "role", "role: agent"), settings_errc::role_mismatch, 1, "agent");
+}
+
+// Guards against an operator who has to fix a file one error at a time.
+TEST_F(settings_test, parse_several_problems_all_reported)
+{
+    std::string text = changed(agent_text(), "zone", "zoned: a");
+    text = changed(text, "  host:", "  host: 0");
+    try {
+        parse_settings(text, "x.yaml");
+        FAIL() << "accepted";
+    } catch (const settings_error& e) {
+        EXPECT_EQ(e.number(), static_cast<int>(settings_errc::several));
+        ASSERT_EQ(e.lines().size(), 3U);
+        EXPECT_EQ(e.lines()[0].substr(0, 35), "x.yaml:1: [settings.404] zone: miss");
+        EXPECT_EQ(e.lines()[1].substr(0, 37), "x.yaml:2: [settings.403] zoned: unkno");
+        EXPECT_EQ(e.lines()[2], "x.yaml:9: [settings.406] agent.host: '0' must be an integer from 1 to 4294967295");
+    }
+}
+
+// Guards against a crash or an empty message when the file is broken or absent.
+TEST_F(settings_test, load_unreadable_or_broken_file_rejected)
+{
+    expect_single("role: [entry\nzone: a\n", settings_errc::bad_yaml, 2, "");
+    for (const char* file : {"/nonexistent/x.yaml", "/"}) {
+        try {
+            load_settings(file);
+            FAIL() << file << " accepted";
+        } catch (const settings_error& e) {
+            EXPECT_EQ(e.number(), static_cast<int>(settings_errc::unreadable_file));
+        }
+    }
+}
+
+} // namespace
+} // namespace daisydoor::runtime
