Test the HTTP client and the peer links over loopback sockets

The distinction between a failed connect and a failure after bytes may have been sent carries 'not_run' and 'unknown', and one link per pair of agents carries the fences, so both need tests against real sockets. Without the reuse of a dialled configuration link, set_mesh_after_configuration_link_no_loss fails with 3 link-ups instead of 2.

After a pause of the own process, links are not closed for silence, since what the peers sent meanwhile still waits in the sockets; and an entry tells its core of the gap before the first datagram, even when the socket fires first.

--- a/include/daisydoor/runtime/detail/link_task.hpp
+++ b/include/daisydoor/runtime/detail/link_task.hpp
@@ -70,6 +70,9 @@
     std::map<peer_link*, std::unique_ptr<peer_link>> m_links;
     std::map<core::host_id, peer_link*> m_mesh;
     std::map<core::host_id, mesh_target> m_targets;
+    core::time_point m_last_tick{};
+    /// Silence before this time does not count against a link.
+    core::time_point m_silence_starts{};
     link_counters m_counters;
     port<peer_message_received> m_config;
     port<mesh_peer_up> m_peer_up;
--- a/src/runtime/entry_task.cpp
+++ b/src/runtime/entry_task.cpp
@@ -49,6 +49,10 @@
 void entry_task::on_datagram(const received_datagram& message)
 {
     const auto now = core::clock::now();
+    if (now - m_last_tick > pause_threshold) {
+        // After a pause the socket may become readable before the timer fires; the core must learn of the gap first.
+        on_tick();
+    }
     auto verdict = m_core.on_datagram(now, message.data, message.size, message.age);
     if (verdict.kind == entry::verdict_kind::drop) {
         log_drop(now, verdict.reason);
--- a/src/runtime/link_task.cpp
+++ b/src/runtime/link_task.cpp
@@ -17,6 +17,7 @@
 /// Mesh links carry a report every 500 ms; a longer silence means that this connection is dead even if a new one works.
 constexpr core::milliseconds mesh_silence{4000};
 constexpr core::milliseconds connect_timeout{2000};
+constexpr core::milliseconds pause_threshold{1000};
 /// Idle links to processes outside the mesh are closed, so that their number stays bounded.
 constexpr core::milliseconds idle_timeout{30'000};
 /// Fan-in of the configuration exchange stays far below this.
@@ -57,6 +58,7 @@
     m_peer_up = m_kernel.find_optional<mesh_peer_up>(service_names::role);
     m_peer_down = m_kernel.find_optional<mesh_peer_down>(service_names::role);
     m_mesh_message = m_kernel.find_optional<mesh_message>(service_names::role);
+    m_last_tick = core::clock::now();
     m_timer.add(link_tick);
 }
 
@@ -244,11 +246,17 @@
 void link_task::on_tick()
 {
     const auto now = core::clock::now();
+    if (now - m_last_tick > pause_threshold) {
+        // This process was paused: what its peers have sent meanwhile still waits in the sockets.
+        m_silence_starts = now;
+    }
+    m_last_tick = now;
     std::vector<peer_link*> silent;
     for (const auto& [link, owned] : m_links) {
         const auto it = link->hello() ? m_mesh.find(core::host_id{link->hello()->host}) : m_mesh.end();
         const bool mesh = it != m_mesh.end() && it->second == link;
-        const auto last = mesh ? link->last_received() : std::max(link->last_received(), link->last_sent());
+        const auto used = mesh ? link->last_received() : std::max(link->last_received(), link->last_sent());
+        const auto last = std::max(used, m_silence_starts);
         const auto limit = mesh ? mesh_silence : link->hello() ? idle_timeout : connect_timeout;
         if (!link->is_closed() && now - last > limit) {
             silent.push_back(link);
--- /dev/null
+++ b/tests/unit/unit-runtime-http.cpp
@@ -0,0 +1,252 @@
+#include "daisydoor/runtime/detail/http_client.hpp"
+#include "daisydoor/runtime/detail/socket_address.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace daisydoor::runtime::detail
+{
+namespace
+{
+
+/// HTTP client against a raw listener on loopback whose answer to each connection's first bytes the test chooses.
+class http_client_test : public ::testing::Test
+{
+  protected:
+    struct connection
+    {
+        int fd = -1;
+        std::string received;
+        io_event readable;
+    };
+
+    http_client_test() : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        socket_address address;
+        to_socket_address(core::parse_endpoint("127.0.0.1:1"), address);
+        reinterpret_cast<sockaddr_in&>(address.storage).sin_port = 0;
+        EXPECT_EQ(bind(m_listener, address.get(), address.size), 0);
+        sockaddr_storage bound{};
+        socklen_t size = sizeof bound;
+        getsockname(m_listener, reinterpret_cast<sockaddr*>(&bound), &size);
+        server = from_socket_address(bound);
+        client = std::make_unique<http_client>(owner, server);
+    }
+
+    ~http_client_test() override
+    {
+        client.reset();
+        stop_listening();
+        for (const auto& it : m_connections) {
+            close(it->fd);
+        }
+    }
+
+    void listen_with(std::function<void(connection&)> on_request)
+    {
+        m_on_request = std::move(on_request);
+        ASSERT_EQ(::listen(m_listener, 8), 0);
+        m_acceptable = io_event(owner.base(), m_listener, EV_READ | EV_PERSIST, [this] { accept_one(); });
+        m_acceptable.add();
+    }
+
+    void stop_listening()
+    {
+        m_acceptable.remove();
+        if (m_listener >= 0) {
+            close(m_listener);
+            m_listener = -1;
+        }
+    }
+
+    http_answer run(core::milliseconds timeout = core::milliseconds(5000))
+    {
+        http_answer result;
+        http_request request;
+        request.path = "/x";
+        request.timeout = timeout;
+        owner.defer([&] {
+            client->start(std::move(request), [&](http_answer answer) {
+                result = std::move(answer);
+                owner.stop(0);
+            });
+        });
+        owner.run();
+        return result;
+    }
+
+    static void reply(connection& to, const std::string& text)
+    {
+        EXPECT_EQ(write(to.fd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    }
+
+    static void hang_up(connection& to)
+    {
+        // A reset instead of an orderly end: the client must not take it for a failed connect.
+        const linger now{1, 0};
+        setsockopt(to.fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        to.readable.remove();
+        close(to.fd);
+        to.fd = -1;
+    }
+
+    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
+
+    kernel owner;
+    core::endpoint server;
+    std::unique_ptr<http_client> client;
+
+  private:
+    void accept_one()
+    {
+        const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (fd < 0) {
+            return;
+        }
+        m_connections.push_back(std::make_unique<connection>());
+        auto& it = *m_connections.back();
+        it.fd = fd;
+        it.readable = io_event(owner.base(), fd, EV_READ | EV_PERSIST, [this, &it] {
+            std::array<char, 4096> buf{};
+            const auto n = read(it.fd, buf.data(), buf.size());
+            if (n <= 0) {
+                it.readable.remove();
+                return;
+            }
+            it.received.append(buf.data(), static_cast<std::size_t>(n));
+            m_on_request(it);
+        });
+        it.readable.add();
+    }
+
+    int m_listener;
+    io_event m_acceptable;
+    std::function<void(connection&)> m_on_request;
+    std::vector<std::unique_ptr<connection>> m_connections;
+};
+
+constexpr const char* short_answer = "HTTP/1.1 200 OK\r\nX-Version: 7\r\nContent-Length: 2\r\n\r\nok";
+
+// Guards against a new connection for each exchange, and against a lost header.
+TEST_F(http_client_test, start_twice_connection_used_again)
+{
+    listen_with([](connection& it) { reply(it, short_answer); });
+    for (int i = 0; i < 2; ++i) {
+        const auto answer = run();
+        EXPECT_EQ(answer.outcome, http_outcome::answered);
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.version, "7");
+        EXPECT_EQ(std::string(answer.body.begin(), answer.body.end()), "ok");
+    }
+    EXPECT_EQ(connections(), 1U);
+}
+
+// Guards against 'unknown' for a request of which no byte left the agent.
+TEST_F(http_client_test, start_nobody_listens_connect_failed)
+{
+    EXPECT_EQ(run().outcome, http_outcome::connect_failed);
+}
+
+// Guards against a false 'not_run': the target may have run a request whose connection was reset.
+TEST_F(http_client_test, start_reset_after_request_broken)
+{
+    listen_with([](connection& it) { hang_up(it); });
+    EXPECT_EQ(run().outcome, http_outcome::broken);
+}
+
+// Guards against a false 'not_run' on a reused connection that is reset before it answers.
+TEST_F(http_client_test, start_reset_on_reused_connection_broken)
+{
+    int requests = 0;
+    listen_with([&requests](connection& it) {
+        if (++requests == 1) {
+            reply(it, short_answer);
+        } else {
+            hang_up(it);
+        }
+    });
+    EXPECT_EQ(run().outcome, http_outcome::answered);
+    EXPECT_EQ(run().outcome, http_outcome::broken);
+    EXPECT_EQ(connections(), 1U);
+}
+
+// Guards against an exchange that never ends at a frozen target.
+TEST_F(http_client_test, start_no_answer_timed_out)
+{
+    listen_with([](connection&) {});
+    EXPECT_EQ(run(core::milliseconds(20)).outcome, http_outcome::timed_out);
+}
+
+// Guards against an answer that is cut off but passed on as whole.
+TEST_F(http_client_test, start_answer_cut_off_broken)
+{
+    listen_with([](connection& it) {
+        reply(it, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok");
+        hang_up(it);
+    });
+    EXPECT_EQ(run().outcome, http_outcome::broken);
+}
+
+// Guards against a cancelled exchange that still reports, or whose connection stays open at the target.
+TEST_F(http_client_test, cancel_in_flight_connection_closed)
+{
+    bool closed = false;
+    std::uint64_t id = 0;
+    listen_with([&](connection& it) {
+        it.readable = io_event(owner.base(), it.fd, EV_READ | EV_PERSIST, [&] {
+            char byte = 0;
+            closed = read(it.fd, &byte, 1) == 0;
+            owner.stop(0);
+        });
+        it.readable.add();
+        owner.defer([&] { EXPECT_TRUE(client->cancel(id)); });
+    });
+    http_request request;
+    request.path = "/x";
+    request.timeout = core::milliseconds(5000);
+    id = client->start(std::move(request), [](const http_answer&) { ADD_FAILURE() << "reported after cancel"; });
+    owner.run();
+    EXPECT_TRUE(closed);
+    EXPECT_EQ(client->in_flight(), 0U);
+}
+
+// Guards against stream parts that are held back until the stream ends, and a cancel inside the part handler.
+TEST_F(http_client_test, start_stream_parts_delivered_at_once)
+{
+    listen_with([](connection& it) {
+        reply(it, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "5\r\nhello\r\n");
+    });
+    std::string parts;
+    std::uint64_t id = 0;
+    http_request request;
+    request.path = "/feed";
+    request.on_headers = [](int status, const std::string& type) {
+        return status == 200 && type == "text/event-stream";
+    };
+    request.on_part = [&](wire::bytes_view part) {
+        parts.append(reinterpret_cast<const char*>(part.data), part.size);
+        client->cancel(id);
+        owner.stop(0);
+    };
+    id = client->start(std::move(request), [](const http_answer&) { ADD_FAILURE() << "reported after cancel"; });
+    owner.run();
+    EXPECT_EQ(parts, "hello");
+    owner.run_deferred();
+}
+
+// Guards against a path that smuggles a second request to the target.
+TEST(http_path_test, is_valid_path_control_characters_rejected)
+{
+    EXPECT_TRUE(is_valid_path("/a/b?c=d"));
+    for (const char* path : {"", "a", "/a b", "/a\r\nX: y", "/\x7f", "/\xc3\xa4"}) {
+        EXPECT_FALSE(is_valid_path(path)) << path;
+    }
+}
+
+} // namespace
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/tests/unit/unit-runtime-links.cpp
@@ -0,0 +1,151 @@
+#include "daisydoor/runtime/detail/link_task.hpp"
+
+#include <gtest/gtest.h>
+
+#include <event2/event.h>
+
+namespace daisydoor::runtime::detail
+{
+namespace
+{
+
+/// One process: its kernel with the links and handlers that note what they receive.
+struct process
+{
+    process(std::uint32_t host, const std::string& listen, std::uint64_t incarnation)
+        : address(core::parse_endpoint(listen)), id{host}
+    {
+        wire::helloT hello;
+        hello.role = wire::process_role::agent;
+        hello.host = host;
+        hello.service = 1;
+        hello.incarnation = incarnation;
+        const std::string role = service_names::role;
+        owner.provide<mesh_peer_up>(role,
+                                    [this](mesh_peer_up& message) { ups.push_back(core::raw(message.incarnation)); });
+        owner.provide<mesh_peer_down>(role, [this](mesh_peer_down&) { ++downs; });
+        owner.provide<mesh_message>(
+            role, [this](mesh_message& message) { queries.push_back(message.message->body.Aswork_request()->count); });
+        owner.provide<peer_message_received>(
+            service_names::config, [this](peer_message_received& message) { senders.push_back(message.peer); });
+        auto& links = owner.add(
+            std::make_unique<link_task>(owner, link_options{address, std::move(hello)}, core::random_source(host)));
+        links.start();
+    }
+
+    void set_mesh(const process& peer) { send(set_mesh_peers{{{peer.id, peer.address}}}); }
+
+    void send_work_request(const process& peer, std::uint32_t count) { send(send_to_host{peer.id, request(count)}); }
+
+    void send_to(const core::endpoint& peer) { send(send_to_endpoint{peer, request(0)}); }
+
+    static wire::peer_messageT request(std::uint32_t count)
+    {
+        wire::work_requestT body;
+        body.count = count;
+        return wire::make_peer_message(core::config_version{1}, body);
+    }
+
+    template <typename Message>
+    void send(Message message)
+    {
+        owner.find<Message>(service_names::links).post(std::move(message));
+    }
+
+    kernel owner;
+    core::endpoint address;
+    core::host_id id;
+    std::vector<std::uint64_t> ups;
+    int downs = 0;
+    std::vector<std::uint32_t> queries;
+    std::vector<core::endpoint> senders;
+};
+
+class link_task_test : public ::testing::Test
+{
+  protected:
+    static constexpr const char* address_a = "127.0.77.1:17501";
+    static constexpr const char* address_b = "127.0.77.2:17501";
+
+    void SetUp() override
+    {
+        a = std::make_unique<process>(1, address_a, 100);
+        b = std::make_unique<process>(2, address_b, 200);
+    }
+
+    /// Runs both loops until the condition holds; gives up after a bounded number of rounds of 1 ms.
+    bool run_until(const std::function<bool()>& condition)
+    {
+        constexpr int max_rounds = 10'000;
+        for (int i = 0; i < max_rounds && !condition(); ++i) {
+            for (const auto* it : {a.get(), b.get()}) {
+                if (it != nullptr) {
+                    event_base_loop(it->owner.base(), EVLOOP_NONBLOCK);
+                }
+            }
+            usleep(1000);
+        }
+        return condition();
+    }
+
+    bool run_until_up()
+    {
+        return run_until([this] { return a->ups.size() == 1 && b->ups.size() == 1; });
+    }
+
+    std::unique_ptr<process> a;
+    std::unique_ptr<process> b;
+};
+
+// Guards against two links between two agents: the loss of one would hide lost messages.
+TEST_F(link_task_test, set_mesh_on_both_sides_one_link)
+{
+    a->set_mesh(*b);
+    b->set_mesh(*a);
+    ASSERT_TRUE(run_until_up());
+    EXPECT_EQ(a->ups, (std::vector<std::uint64_t>{200}));
+    EXPECT_EQ(b->ups, (std::vector<std::uint64_t>{100}));
+    a->send_work_request(*b, 7);
+    b->send_work_request(*a, 8);
+    ASSERT_TRUE(run_until([this] { return !a->queries.empty() && !b->queries.empty(); }));
+    EXPECT_EQ(b->queries, (std::vector<std::uint32_t>{7}));
+    EXPECT_EQ(a->queries, (std::vector<std::uint32_t>{8}));
+    EXPECT_EQ(a->downs + b->downs, 0);
+}
+
+// Guards against a mesh that replaces a link of the configuration exchange, which both sides saw as a lost link.
+TEST_F(link_task_test, set_mesh_after_configuration_link_no_loss)
+{
+    a->send_to(b->address);
+    ASSERT_TRUE(run_until_up());
+    a->set_mesh(*b);
+    b->set_mesh(*a);
+    a->send_work_request(*b, 7);
+    // The first message is the one of the configuration exchange, on the same link.
+    ASSERT_TRUE(run_until([this] { return b->queries.size() == 2; }));
+    EXPECT_EQ(a->downs + b->downs, 0);
+    EXPECT_EQ(a->ups.size() + b->ups.size(), 2U);
+}
+
+// Guards against a peer that is known by the ephemeral port of its link, where nobody can be reached later.
+TEST_F(link_task_test, accepted_link_named_by_listen_address)
+{
+    a->send_to(b->address);
+    ASSERT_TRUE(run_until([this] { return !b->senders.empty(); }));
+    EXPECT_EQ(core::to_string(b->senders.front()), address_a);
+}
+
+// Guards against a mesh that stays broken after a peer restarts, or that reports the old incarnation.
+TEST_F(link_task_test, peer_restart_link_with_new_incarnation)
+{
+    a->set_mesh(*b);
+    ASSERT_TRUE(run_until_up());
+    b.reset();
+    ASSERT_TRUE(run_until([this] { return a->downs == 1; }));
+    b = std::make_unique<process>(2, address_b, 201);
+    ASSERT_TRUE(run_until([this] { return a->ups.size() == 2; }));
+    EXPECT_EQ(a->ups.back(), 201U);
+}
+
+} // namespace
+} // namespace daisydoor::runtime::detail
