Complete the agent's flows: feeds, moves, passing opens on

Cause: the first version answered opens only; feeds and moves were missing. Change: feed_hub shares target connections by path, resends unacknowledged events and serves subscribers behind the buffer from a connection of their own. flow_mover moves flows make-before-break for drain and rebalancing. Opens are passed on once when the agent drains, is ejected or holds too many flows. A close is confirmed by keepalive_ack with closed_sequence, so that flow_gone is sent only for flows that are lost. Ruled out: confirming a close by flow_gone, since it counts as a broken flow.

--- /dev/null
+++ b/include/daisydoor/agent/detail/flow_mover.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "daisydoor/agent/detail/feed_hub.hpp"
+#include "daisydoor/agent/work.hpp"
+
+#include <map>
+#include <tuple>
+
+namespace daisydoor::agent::detail
+{
+
+/// @brief Moves flows to peers make-before-break, to drain or to rebalance feeds, and adopts flows of peers.
+///
+/// Old side: the peer is asked to adopt, the caller is told to move, and after its confirmation the flow stays until
+/// its records are acknowledged. Every step repeats or starts over when its message is lost.
+class flow_mover
+{
+  public:
+    flow_mover(agent_context& context, flow_table& table, feed_hub& feeds, const work& requests)
+        : m_context(context), m_table(table), m_feeds(feeds), m_requests(requests)
+    {
+    }
+
+    void on_adopt_flow(core::time_point now, core::host_id host, const wire::adopt_flowT& body, action_list& actions);
+    void on_adopt_reply(core::time_point now, core::host_id host, const wire::adopt_replyT& body, action_list& actions);
+    void on_confirm(core::time_point now, core::flow_id flow, action_list& actions);
+    void on_peer_down(core::host_id host);
+    /// @brief Repeats and starts moves. Returns flows that have left and can be removed.
+    std::vector<core::flow_id> on_tick(core::time_point now, action_list& actions);
+    /// @brief The flow is about to be removed.
+    void forget(core::flow_id flow);
+
+    /// @brief Whether the caller has confirmed that it uses the flow's successor.
+    [[nodiscard]] bool has_left(core::flow_id flow) const
+    {
+        const auto it = m_leaving.find(flow);
+        return it != m_leaving.end() && it->second.at == stage::confirmed;
+    }
+    /// @brief Subscribers that a peer has adopted already and that still count here.
+    [[nodiscard]] std::size_t adopted_feeds() const noexcept { return m_adopted_feeds; }
+    [[nodiscard]] std::size_t adopted_flows() const noexcept { return m_adopted_flows; }
+    [[nodiscard]] std::uint64_t moved() const noexcept { return m_moved; }
+
+  private:
+    enum class stage
+    {
+        asked,
+        /// The peer holds the new flow; the caller is told until it confirms.
+        offered,
+        confirmed,
+    };
+
+    struct leaving_flow
+    {
+        core::host_id peer{};
+        stage at = stage::asked;
+        wire::flow_token token;
+        bool has_feed = false;
+        core::time_point since{};
+        core::time_point next_send{};
+        core::milliseconds interval{0};
+    };
+    using leaving_map = std::map<core::flow_id, leaving_flow>;
+
+    struct adoption
+    {
+        core::flow_id flow{};
+        core::time_point at{};
+    };
+    /// Host, incarnation and flow number of the old side.
+    using adoption_key = std::tuple<core::host_id, core::incarnation_id, std::uint64_t>;
+
+    void set_stage(core::time_point now, leaving_flow& leaving, stage at);
+    leaving_map::iterator erase(leaving_map::iterator it);
+    bool tick_leaving(core::time_point now, core::flow_id flow, leaving_flow& leaving, action_list& actions);
+    void start_moves(core::time_point now, action_list& actions);
+    void refill_credit(core::time_point now);
+    bool start_move(core::time_point now, core::flow_id flow, bool for_drain, action_list& actions);
+    [[nodiscard]] peer_status* peer_with_fewest_feeds(core::time_point now);
+    [[nodiscard]] std::size_t surplus_feeds(core::time_point now);
+    [[nodiscard]] bool can_adopt() const noexcept;
+
+    agent_context& m_context;
+    flow_table& m_table;
+    feed_hub& m_feeds;
+    const work& m_requests;
+    leaving_map m_leaving;
+    std::map<adoption_key, adoption> m_adoptions;
+    std::size_t m_adopted_feeds = 0;
+    std::size_t m_adopted_flows = 0;
+    std::uint64_t m_moved = 0;
+    /// Moves that may start now.
+    double m_credit = 0;
+    core::time_point m_credit_at{};
+};
+
+} // namespace daisydoor::agent::detail
--- a/include/daisydoor/caller/detail/session_state.hpp
+++ b/include/daisydoor/caller/detail/session_state.hpp
@@ -54,6 +54,7 @@
     void tick_candidate(core::time_point now, session_actions& actions);
     void tick_path(core::time_point now, session_actions& actions);
     void tick_retired(core::time_point now, session_actions& actions);
+    void drop_retired(const flow_link& link);
     void set_current(core::time_point now, std::unique_ptr<flow_link> link);
     flow_link* find(const wire::flow_token& token);
 
--- /dev/null
+++ b/src/agent/feed_hub.cpp
@@ -0,0 +1,303 @@
+#include "daisydoor/agent/detail/feed_hub.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::agent::detail
+{
+
+namespace
+{
+
+constexpr core::milliseconds resend_initial{200};
+constexpr core::milliseconds resend_max{2000};
+/// Unacknowledged events of one subscriber; bounds what is sent to a caller that has gone away.
+constexpr std::size_t send_window = 32;
+/// Only the first unacknowledged events are resent; the caller holds back later ones that have arrived.
+constexpr std::size_t resend_count = 4;
+/// Callers send a keepalive every 10 s, so that one without any datagram for this long is out of reach.
+constexpr core::milliseconds caller_silence{30000};
+/// Feed connections that carry no byte for this long are replaced.
+constexpr core::milliseconds feed_silence{15000};
+constexpr core::milliseconds reopen_initial{100};
+constexpr core::milliseconds reopen_max{2000};
+constexpr core::milliseconds join_interval{1000};
+
+} // namespace
+
+void feed_hub::subscribe(core::time_point now, core::flow_id flow, const std::string& path, core::event_id last_event,
+                         action_list& actions)
+{
+    auto it = m_subscribers.find(flow);
+    if (it != m_subscribers.end() && m_feeds.at(it->second.key).path != path) {
+        unsubscribe(flow, actions);
+        it = m_subscribers.end();
+    }
+    if (it == m_subscribers.end()) {
+        subscriber sub;
+        sub.acknowledged = sub.base = last_event;
+        attach(now, flow, sub, path, actions);
+        m_subscribers.emplace(flow, sub);
+        return;
+    }
+    // A subscription without a position is a late repeat of the first one if events have been acknowledged since.
+    if (last_event != core::event_id{0}) {
+        set_position(now, flow, it->second, last_event, actions);
+    } else if (it->second.acknowledged == core::event_id{0}) {
+        it->second.sent = it->second.start();
+        send_new(now, flow, it->second, actions);
+    }
+}
+
+void feed_hub::set_position(core::time_point now, core::flow_id flow, subscriber& sub, core::event_id position,
+                            action_list& actions)
+{
+    sub.acknowledged = sub.base = position;
+    const auto& current = m_feeds.at(sub.key);
+    if (!current.buffer.covers(position)) {
+        // The caller has its position from another flow, and this feed does not reach back to it.
+        const auto path = current.path;
+        detach(flow, sub, actions);
+        attach(now, flow, sub, path, actions);
+    }
+    // The caller may miss anything after its position, so that all of it is sent again.
+    sub.sent = position;
+    send_new(now, flow, sub, actions);
+}
+
+void feed_hub::attach(core::time_point now, core::flow_id flow, subscriber& sub, const std::string& path,
+                      action_list& actions)
+{
+    const auto position = sub.start();
+    const bool starts_anywhere = position == core::event_id{0};
+    const auto it = std::find_if(m_feeds.begin(), m_feeds.end(), [&](const auto& item) {
+        return item.second.path == path && (starts_anywhere || item.second.buffer.covers(position));
+    });
+    sub.key = it != m_feeds.end() ? it->first : open_feed_from(now, path, position, actions);
+    auto& value = m_feeds.at(sub.key);
+    value.subscribers.insert(flow);
+    if (starts_anywhere) {
+        sub.base = value.buffer.last();
+    }
+    sub.sent = sub.start();
+    sub.attached_at = now;
+}
+
+void feed_hub::detach(core::flow_id flow, const subscriber& sub, action_list& actions)
+{
+    const auto it = m_feeds.find(sub.key);
+    it->second.subscribers.erase(flow);
+    if (!it->second.subscribers.empty()) {
+        return;
+    }
+    if (it->second.is_connected) {
+        m_connections.erase(it->second.connection);
+        actions.emplace_back(close_feed{it->second.connection});
+    }
+    m_feeds.erase(it);
+}
+
+void feed_hub::unsubscribe(core::flow_id flow, action_list& actions)
+{
+    const auto it = m_subscribers.find(flow);
+    if (it != m_subscribers.end()) {
+        detach(flow, it->second, actions);
+        m_subscribers.erase(it);
+    }
+}
+
+feed_hub::feed_key feed_hub::open_feed_from(core::time_point now, const std::string& path, core::event_id position,
+                                            action_list& actions)
+{
+    const auto key = ++m_last_key;
+    auto& value =
+        m_feeds.emplace(key, feed{path, feed_buffer(position), {}, false, now, now, reopen_initial, {}}).first->second;
+    connect(now, value, actions);
+    m_connections[value.connection] = key;
+    return key;
+}
+
+void feed_hub::connect(core::time_point now, feed& value, action_list& actions)
+{
+    value.connection = feed_connection_id{++m_last_connection};
+    value.is_connected = true;
+    value.last_activity = now;
+    actions.emplace_back(open_feed{value.connection, value.path, value.buffer.last()});
+}
+
+feed_hub::feed* feed_hub::find_connection(feed_connection_id id)
+{
+    const auto it = m_connections.find(id);
+    return it != m_connections.end() ? &m_feeds.at(it->second) : nullptr;
+}
+
+bool feed_hub::is_reachable(core::time_point now, core::flow_id flow, const subscriber& sub) const
+{
+    const auto* entry = m_table.find(flow);
+    return sub.active && entry != nullptr && now - entry->last_seen < caller_silence;
+}
+
+void feed_hub::send_event(core::flow_id flow, const subscriber& sub, const stored_event& event, action_list& actions)
+{
+    wire::eventT body;
+    const bool first = event.previous <= sub.start();
+    body.previous = core::raw(first ? sub.acknowledged : event.previous);
+    body.id = core::raw(event.id);
+    body.data = event.data;
+    send_to_flow(m_context, *m_table.find(flow), std::move(body), actions);
+    ++m_events_sent;
+}
+
+void feed_hub::send_new(core::time_point now, core::flow_id flow, subscriber& sub, action_list& actions)
+{
+    if (!is_reachable(now, flow, sub)) {
+        return;
+    }
+    const auto& buffer = m_feeds.at(sub.key).buffer;
+    if (buffer.has_dropped_after(sub.start())) {
+        return;
+    }
+    const auto first = buffer.index_after(sub.start());
+    const auto end = std::min(buffer.size(), first + send_window);
+    auto i = buffer.index_after(std::max(sub.sent, sub.start()));
+    if (i == first && i < end) {
+        sub.resend_interval = resend_initial;
+        sub.resend_at = now + resend_initial;
+    }
+    for (; i < end; ++i) {
+        send_event(flow, sub, buffer.at(i), actions);
+        sub.sent = buffer.at(i).id;
+    }
+}
+
+void feed_hub::resend(core::time_point now, core::flow_id flow, subscriber& sub, action_list& actions)
+{
+    if (sub.sent <= sub.start() || now < sub.resend_at || !is_reachable(now, flow, sub)) {
+        return;
+    }
+    sub.resend_interval = std::min(sub.resend_interval * 2, resend_max);
+    sub.resend_at = now + sub.resend_interval;
+    const auto& buffer = m_feeds.at(sub.key).buffer;
+    const auto first = buffer.index_after(sub.start());
+    for (auto i = first; i < std::min(buffer.size(), first + resend_count) && buffer.at(i).id <= sub.sent; ++i) {
+        send_event(flow, sub, buffer.at(i), actions);
+    }
+}
+
+void feed_hub::acknowledge(core::time_point now, core::flow_id flow, core::event_id last_event, action_list& actions)
+{
+    const auto it = m_subscribers.find(flow);
+    if (it == m_subscribers.end() || last_event <= it->second.acknowledged) {
+        return;
+    }
+    auto& sub = it->second;
+    if (!m_feeds.at(sub.key).buffer.covers(last_event)) {
+        set_position(now, flow, sub, last_event, actions);
+        return;
+    }
+    sub.acknowledged = last_event;
+    sub.sent = std::max(sub.sent, last_event);
+    sub.resend_interval = resend_initial;
+    sub.resend_at = now + resend_initial;
+    send_new(now, flow, sub, actions);
+}
+
+void feed_hub::on_caller_seen(core::time_point now, core::flow_id flow, action_list& actions)
+{
+    const auto it = m_subscribers.find(flow);
+    if (it != m_subscribers.end() && !it->second.active) {
+        it->second.active = true;
+        send_new(now, flow, it->second, actions);
+    }
+}
+
+void feed_hub::on_event(core::time_point now, feed_connection_id id, core::event_id event,
+                        std::vector<std::uint8_t> data, action_list& actions)
+{
+    auto* value = find_connection(id);
+    if (value == nullptr) {
+        return;
+    }
+    value->last_activity = now;
+    value->reopen_delay = reopen_initial;
+    if (!value->buffer.push(event, std::move(data))) {
+        return;
+    }
+    for (const auto flow : value->subscribers) {
+        send_new(now, flow, m_subscribers.at(flow), actions);
+    }
+}
+
+void feed_hub::on_activity(core::time_point now, feed_connection_id id)
+{
+    if (auto* value = find_connection(id)) {
+        value->last_activity = now;
+    }
+}
+
+void feed_hub::on_closed(core::time_point now, feed_connection_id id)
+{
+    if (auto* value = find_connection(id)) {
+        value->is_connected = false;
+        value->reopen_at = now + value->reopen_delay;
+        value->reopen_delay = std::min(value->reopen_delay * 2, reopen_max);
+        m_connections.erase(id);
+    }
+}
+
+void feed_hub::tick_feeds(core::time_point now, action_list& actions)
+{
+    for (auto& [key, value] : m_feeds) {
+        if (value.is_connected && now - value.last_activity >= feed_silence) {
+            m_connections.erase(value.connection);
+            actions.emplace_back(close_feed{value.connection});
+            value.is_connected = false;
+            value.reopen_at = now;
+        }
+        if (!value.is_connected && now >= value.reopen_at) {
+            connect(now, value, actions);
+            m_connections[value.connection] = key;
+        }
+    }
+}
+
+void feed_hub::join_feeds(core::time_point now, action_list& actions)
+{
+    if (now < m_next_join) {
+        return;
+    }
+    m_next_join = now + join_interval;
+    for (auto& [flow, sub] : m_subscribers) {
+        const auto path = m_feeds.at(sub.key).path;
+        const auto shared = std::find_if(m_feeds.begin(), m_feeds.end(),
+                                         [&path](const auto& item) { return item.second.path == path; });
+        const bool is_behind = m_feeds.at(sub.key).buffer.has_dropped_after(sub.start());
+        const bool can_join = shared->first != sub.key && shared->second.buffer.covers(sub.start());
+        // An unreachable caller waits; a reachable one that is behind gets its own feed at most once in an interval.
+        const bool can_reopen = is_behind && is_reachable(now, flow, sub) && now - sub.attached_at >= join_interval;
+        if (can_join || can_reopen) {
+            detach(flow, sub, actions);
+            attach(now, flow, sub, path, actions);
+            send_new(now, flow, sub, actions);
+        }
+    }
+}
+
+void feed_hub::on_tick(core::time_point now, action_list& actions)
+{
+    tick_feeds(now, actions);
+    for (auto& [flow, sub] : m_subscribers) {
+        resend(now, flow, sub, actions);
+    }
+    join_feeds(now, actions);
+}
+
+std::optional<feed_hub::position> feed_hub::position_of(core::flow_id flow) const
+{
+    const auto it = m_subscribers.find(flow);
+    if (it == m_subscribers.end()) {
+        return std::nullopt;
+    }
+    return position{m_feeds.at(it->second.key).path, it->second.acknowledged};
+}
+
+} // namespace daisydoor::agent::detail
--- a/src/agent/flows.cpp
+++ b/src/agent/flows.cpp
@@ -1,8 +1,12 @@
 #include "daisydoor/agent/flows.hpp"
 
+#include "daisydoor/agent/detail/feed_hub.hpp"
+#include "daisydoor/agent/detail/flow_mover.hpp"
 #include "daisydoor/agent/detail/flow_table.hpp"
 #include "daisydoor/core/fault.hpp"
 
+#include <cstring>
+
 namespace daisydoor::agent
 {
 
@@ -13,8 +17,28 @@
 constexpr core::milliseconds keepalive_interval{10000};
 /// Flows without any datagram from the caller for this long are dropped.
 constexpr core::milliseconds flow_idle_timeout{600000};
+/// While draining, flows without a datagram for six keepalive intervals are dropped, since they can not be moved and
+/// their callers have opened again.
+constexpr core::milliseconds drain_idle_timeout{60000};
 constexpr core::milliseconds idle_sweep_interval{1000};
 constexpr core::milliseconds refused_open_retry{1000};
+/// Part of the mean of the peers' flows above which an open is passed on.
+constexpr double pass_on_ratio = 1.03;
+/// An open is passed on by an agent at most once.
+constexpr std::uint8_t max_hops = 1;
+
+bool takes_flows(const peer_status& peer)
+{
+    return peer.report.state != wire::agent_state::draining && peer.report.state != wire::agent_state::ejected;
+}
+
+/// The caller repeats a close until this confirmation.
+void confirm_close(const wire::envelope& back, const wire::flow_token& token, action_list& actions)
+{
+    wire::keepalive_ackT ack;
+    ack.sequence = wire::closed_sequence;
+    detail::reply(back, token, 0, std::move(ack), actions);
+}
 
 } // namespace
 
@@ -23,94 +47,213 @@
     agent_context& context;
     work& requests;
     detail::flow_table table;
+    detail::feed_hub feeds;
+    detail::flow_mover mover;
     counters count;
     core::time_point next_sweep{};
 
-    impl(agent_context& shared, work& records) : context(shared), requests(records), table(shared) {}
-
-    void answer_open(core::time_point now, const wire::envelope& env, const wire::packet_header& header,
-                     core::tenant_id tenant, action_list& actions)
+    impl(agent_context& shared, work& records)
+        : context(shared), requests(records), table(shared), feeds(shared, table), mover(shared, table, feeds, records)
     {
-        const auto& entry = table.create(now, tenant, env.service_address(), env.caller_address());
-        wire::open_replyT body;
-        body.token = std::make_unique<wire::flow_token>(entry.token);
-        body.keepalive_ms = static_cast<std::uint32_t>(keepalive_interval.count());
-        body.config_version = core::raw(context.version());
-        detail::reply(detail::reply_envelope(context, env.service_address(), env.caller_address()), entry.token,
-                      header.flow_hash(), std::move(body), actions);
-        ++count.opens_answered;
     }
 
-    void refuse_open(const wire::envelope& env, const wire::packet_header& header, wire::refusal_reason reason,
-                     action_list& actions) const
+    [[nodiscard]] bool is_leaving_service() const noexcept
     {
-        wire::refusalT body;
-        body.kind = wire::refusal_kind::not_run;
-        body.reason = reason;
-        body.retry_after_ms = static_cast<std::uint32_t>(refused_open_retry.count());
-        detail::reply(detail::reply_envelope(context, env.service_address(), env.caller_address()), header.token(),
-                      header.flow_hash(), body, actions);
+        return context.own.state == wire::agent_state::draining || context.own.state == wire::agent_state::ejected;
     }
 
-    /// A request on a lost flow may have run under its lost record, so that `unknown` is the only truthful refusal.
+    void answer_open(core::time_point now, const wire::envelope& env, const wire::packet_header& header,
+                     core::tenant_id tenant, action_list& actions);
+    void refuse_open(const wire::envelope& env, const wire::packet_header& header, wire::refusal_reason reason,
+                     action_list& actions) const;
+    [[nodiscard]] bool holds_too_many(core::time_point now, const peer_status& least) const;
+    bool pass_on(core::time_point now, const wire::envelope& env, wire::bytes_view datagram, action_list& actions);
+    void on_open_forward(core::time_point now, const wire::open_forwardT& body, action_list& actions);
     void answer_gone(const wire::envelope& env, const wire::packet_header& header, const wire::packet_bodyUnion& body,
-                     action_list& actions)
-    {
-        const auto back = detail::reply_envelope(context, env.service_address(), env.caller_address());
-        if (const auto* request = body.Asrequest()) {
-            wire::refusalT refusal;
-            refusal.number = request->number;
-            refusal.kind = wire::refusal_kind::unknown;
-            refusal.reason = wire::refusal_reason::flow_gone;
-            detail::reply(back, header.token(), 0, refusal, actions);
+                     action_list& actions);
+    [[nodiscard]] bool is_own(const wire::flow_token& token) const;
+    void remove(core::flow_id flow, action_list& actions);
+    void acknowledge_sequence(core::time_point now, core::flow_id flow, std::uint32_t sequence, action_list& actions);
+    void sweep(core::time_point now, action_list& actions);
+};
+
+void flows::impl::answer_open(core::time_point now, const wire::envelope& env, const wire::packet_header& header,
+                              core::tenant_id tenant, action_list& actions)
+{
+    const auto& entry = table.create(now, tenant, env.service_address(), env.caller_address());
+    wire::open_replyT body;
+    body.token = std::make_unique<wire::flow_token>(entry.token);
+    body.keepalive_ms = static_cast<std::uint32_t>(keepalive_interval.count());
+    body.config_version = core::raw(context.version());
+    detail::reply(detail::reply_envelope(context, env.service_address(), env.caller_address()), entry.token,
+                  header.flow_hash(), std::move(body), actions);
+    ++count.opens_answered;
+}
+
+void flows::impl::refuse_open(const wire::envelope& env, const wire::packet_header& header, wire::refusal_reason reason,
+                              action_list& actions) const
+{
+    wire::refusalT body;
+    body.kind = wire::refusal_kind::not_run;
+    body.reason = reason;
+    body.retry_after_ms = static_cast<std::uint32_t>(refused_open_retry.count());
+    detail::reply(detail::reply_envelope(context, env.service_address(), env.caller_address()), header.token(),
+                  header.flow_hash(), body, actions);
+}
+
+bool flows::impl::holds_too_many(core::time_point now, const peer_status& least) const
+{
+    const std::size_t own = table.size() - mover.adopted_flows();
+    std::size_t sum = 0;
+    std::size_t peers = 0;
+    for (const auto& [host, peer] : context.peers) {
+        if (context.is_peer_alive(peer, now) && takes_flows(peer)) {
+            sum += peer.report.held_flows;
+            ++peers;
         }
-        wire::flow_goneT gone;
-        gone.reason = wire::refusal_reason::flow_gone;
-        detail::reply(back, header.token(), 0, gone, actions);
-        ++count.flows_gone;
     }
+    const double mean = static_cast<double>(sum) / static_cast<double>(std::max<std::size_t>(peers, 1));
+    return least.report.held_flows<own&& static_cast<double>(own)> pass_on_ratio * mean;
+}
 
-    [[nodiscard]] bool is_own(const wire::flow_token& token) const
-    {
-        const auto& own = context.options;
-        const bool same_run =
-            token.incarnation() == core::raw(own.incarnation) || core::is_active(core::fault::skip_incarnation_check);
-        return same_run && token.host() == core::raw(own.host) && token.service() == core::raw(own.service);
+bool flows::impl::pass_on(core::time_point now, const wire::envelope& env, wire::bytes_view datagram,
+                          action_list& actions)
+{
+    const bool may_hop = env.hop_count() < max_hops || core::is_active(core::fault::second_hop);
+    const auto* least = context.least_loaded_peer(now);
+    if (!may_hop || least == nullptr || !(is_leaving_service() || holds_too_many(now, *least))) {
+        return false;
     }
+    wire::envelope forwarded = env;
+    forwarded.mutate_hop_count(static_cast<std::uint8_t>(env.hop_count() + 1));
+    wire::open_forwardT body;
+    body.datagram.assign(datagram.data, datagram.data + datagram.size);
+    std::memcpy(body.datagram.data(), &forwarded, sizeof forwarded);
+    // Until its next report, so that one peer does not get all opens of this interval.
+    ++context.peers.at(least->host).report.held_flows;
+    context.send_to_peer(least->host, wire::make_peer_message(context.version(), std::move(body)), actions);
+    ++count.opens_passed_on;
+    return true;
+}
 
-    void remove(core::flow_id flow, action_list& /*actions*/)
-    {
-        requests.forget_flow(flow);
-        table.erase(flow);
+/// A request on a lost flow may have run under its lost record, so that `unknown` is the only truthful refusal.
+void flows::impl::answer_gone(const wire::envelope& env, const wire::packet_header& header,
+                              const wire::packet_bodyUnion& body, action_list& actions)
+{
+    const auto back = detail::reply_envelope(context, env.service_address(), env.caller_address());
+    if (body.Asclose() != nullptr) {
+        confirm_close(back, header.token(), actions);
+        return;
     }
+    if (body.Asfeed_ack() != nullptr || body.Asmove_confirm() != nullptr) {
+        // Late repeats on a flow that was closed or has moved; no caller waits for an answer.
+        return;
+    }
+    if (const auto* request = body.Asrequest()) {
+        wire::refusalT refusal;
+        refusal.number = request->number;
+        refusal.kind = wire::refusal_kind::unknown;
+        refusal.reason = wire::refusal_reason::flow_gone;
+        detail::reply(back, header.token(), 0, refusal, actions);
+    }
+    wire::flow_goneT gone;
+    gone.reason = wire::refusal_reason::flow_gone;
+    detail::reply(back, header.token(), 0, gone, actions);
+    ++count.flows_gone;
+}
 
-    void on_keepalive(core::time_point now, const flow_address& from, const wire::keepaliveT& body,
-                      action_list& actions)
-    {
-        auto* entry = table.find(from.flow);
-        if (entry == nullptr) {
-            return;
-        }
-        requests.acknowledge(from.flow, core::request_number{body.acknowledged});
-        table.renew_token(now, *entry);
-        wire::keepalive_ackT ack;
-        ack.sequence = body.sequence;
-        ack.token = std::make_unique<wire::flow_token>(entry->token);
-        detail::send_to_flow(context, *entry, std::move(ack), actions);
+bool flows::impl::is_own(const wire::flow_token& token) const
+{
+    const auto& own = context.options;
+    const bool same_run =
+        token.incarnation() == core::raw(own.incarnation) || core::is_active(core::fault::skip_incarnation_check);
+    return same_run && token.host() == core::raw(own.host) && token.service() == core::raw(own.service);
+}
+
+void flows::impl::remove(core::flow_id flow, action_list& actions)
+{
+    mover.forget(flow);
+    feeds.unsubscribe(flow, actions);
+    requests.forget_flow(flow);
+    table.erase(flow);
+}
+
+void flows::impl::acknowledge_sequence(core::time_point now, core::flow_id flow, std::uint32_t sequence,
+                                       action_list& actions)
+{
+    auto* entry = table.find(flow);
+    if (entry == nullptr) {
+        return;
     }
-};
+    table.renew_token(now, *entry);
+    wire::keepalive_ackT ack;
+    ack.sequence = sequence;
+    ack.token = std::make_unique<wire::flow_token>(entry->token);
+    detail::send_to_flow(context, *entry, std::move(ack), actions);
+}
+
+void flows::impl::on_open_forward(core::time_point now, const wire::open_forwardT& body, action_list& actions)
+{
+    const wire::bytes_view datagram{body.datagram.data(), body.datagram.size()};
+    const auto* env = wire::envelope_of(datagram);
+    if (env == nullptr) {
+        return;
+    }
+    const auto decoded =
+        wire::decode_packet({datagram.data + sizeof(wire::envelope), datagram.size - sizeof(wire::envelope)});
+    const auto* open = decoded ? decoded->packet.body.Asopen() : nullptr;
+    const bool own_service =
+        context.service != nullptr && wire::from_wire(env->service_address()) == context.service->address;
+    if (open == nullptr || !own_service || !context.sealer || context.own.awaiting_confirmation) {
+        return;
+    }
+    if (is_leaving_service() && !core::is_active(core::fault::second_hop)) {
+        // The peer's view of this agent was outdated. The caller reaches another agent with its next attempt.
+        refuse_open(*env, decoded->header, wire::refusal_reason::draining, actions);
+        return;
+    }
+    if (core::is_active(core::fault::second_hop) && pass_on(now, *env, datagram, actions)) {
+        return;
+    }
+    answer_open(now, *env, decoded->header, core::tenant_id{open->tenant}, actions);
+}
+
+void flows::impl::sweep(core::time_point now, action_list& actions)
+{
+    if (now < next_sweep) {
+        return;
+    }
+    next_sweep = now + idle_sweep_interval;
+    const bool drains = context.own.state == wire::agent_state::draining;
+    for (const auto flow : table.idle_since(now - (drains ? drain_idle_timeout : flow_idle_timeout))) {
+        remove(flow, actions);
+    }
+}
 
 flows::flows(agent_context& context, work& requests) : m_impl(std::make_unique<impl>(context, requests)) {}
 flows::~flows() = default;
 
 void flows::on_open(core::time_point now, const wire::envelope& env, const wire::packet_header& header,
-                    const wire::openT& body, wire::bytes_view /*datagram*/, action_list& actions)
+                    const wire::openT& body, wire::bytes_view datagram, action_list& actions)
 {
-    if (!m_impl->context.sealer || m_impl->context.service == nullptr) {
-        m_impl->refuse_open(env, header, wire::refusal_reason::no_configuration, actions);
+    auto& self = *m_impl;
+    if (!self.context.sealer || self.context.service == nullptr || self.context.own.awaiting_confirmation) {
+        self.refuse_open(env, header, wire::refusal_reason::no_configuration, actions);
+        return;
+    }
+    const bool drains = self.context.own.state == wire::agent_state::draining;
+    if (drains && core::is_active(core::fault::skip_drain_forward)) {
+        self.answer_open(now, env, header, core::tenant_id{body.tenant}, actions);
+        return;
+    }
+    if (self.pass_on(now, env, datagram, actions)) {
         return;
     }
-    m_impl->answer_open(now, env, header, core::tenant_id{body.tenant}, actions);
+    if (drains) {
+        self.refuse_open(env, header, wire::refusal_reason::draining, actions);
+        return;
+    }
+    self.answer_open(now, env, header, core::tenant_id{body.tenant}, actions);
 }
 
 std::optional<flow_address> flows::find(core::time_point now, const wire::envelope& env,
@@ -125,6 +268,7 @@
     }
     entry->caller_address = env.caller_address();
     entry->last_seen = now;
+    m_impl->feeds.on_caller_seen(now, entry->id, actions);
     return flow_address{entry->id, entry->tenant,
                         detail::reply_envelope(m_impl->context, entry->service_address, entry->caller_address),
                         entry->token};
@@ -133,36 +277,78 @@
 void flows::on_packet(core::time_point now, const flow_address& from, const wire::packet_bodyUnion& body,
                       action_list& actions)
 {
+    auto& self = *m_impl;
     if (const auto* keepalive = body.Askeepalive()) {
-        m_impl->on_keepalive(now, from, *keepalive, actions);
+        self.requests.acknowledge(from.flow, core::request_number{keepalive->acknowledged});
+        self.feeds.acknowledge(now, from.flow, core::event_id{keepalive->last_event}, actions);
+        self.acknowledge_sequence(now, from.flow, keepalive->sequence, actions);
+    } else if (const auto* subscribe = body.Assubscribe()) {
+        if (!self.mover.has_left(from.flow)) {
+            self.feeds.subscribe(now, from.flow, subscribe->path, core::event_id{subscribe->last_event}, actions);
+        }
+        self.feeds.on_caller_seen(now, from.flow, actions);
+        self.acknowledge_sequence(now, from.flow, wire::subscribed_sequence, actions);
+    } else if (const auto* ack = body.Asfeed_ack()) {
+        self.feeds.acknowledge(now, from.flow, core::event_id{ack->last_event}, actions);
+    } else if (body.Asmove_confirm() != nullptr) {
+        self.mover.on_confirm(now, from.flow, actions);
     } else if (body.Asclose() != nullptr) {
-        m_impl->remove(from.flow, actions);
-        // Confirms the close; the caller repeats it until then.
-        detail::reply(from.reply_envelope, from.token, 0, wire::flow_goneT{}, actions);
+        self.remove(from.flow, actions);
+        confirm_close(from.reply_envelope, from.token, actions);
     }
 }
 
-void flows::on_peer_message(core::time_point, core::host_id, const wire::peer_messageT&, action_list&) {}
-void flows::on_peer_down(core::time_point, core::host_id, action_list&) {}
-void flows::on_feed_event(core::time_point, feed_connection_id, core::event_id, std::vector<std::uint8_t>, action_list&)
+void flows::on_peer_message(core::time_point now, core::host_id host, const wire::peer_messageT& message,
+                            action_list& actions)
+{
+    if (const auto* open = message.body.Asopen_forward()) {
+        m_impl->on_open_forward(now, *open, actions);
+    } else if (const auto* adopt = message.body.Asadopt_flow()) {
+        m_impl->mover.on_adopt_flow(now, host, *adopt, actions);
+    } else if (const auto* reply = message.body.Asadopt_reply()) {
+        m_impl->mover.on_adopt_reply(now, host, *reply, actions);
+    }
+}
+
+void flows::on_peer_down(core::time_point /*now*/, core::host_id host, action_list& /*actions*/)
+{
+    m_impl->mover.on_peer_down(host);
+}
+
+void flows::on_feed_event(core::time_point now, feed_connection_id id, core::event_id event,
+                          std::vector<std::uint8_t> data, action_list& actions)
+{
+    m_impl->feeds.on_event(now, id, event, std::move(data), actions);
+}
+
+void flows::on_feed_activity(core::time_point now, feed_connection_id id) { m_impl->feeds.on_activity(now, id); }
+
+void flows::on_feed_closed(core::time_point now, feed_connection_id id, action_list& /*actions*/)
 {
+    m_impl->feeds.on_closed(now, id);
 }
-void flows::on_feed_activity(core::time_point, feed_connection_id) {}
-void flows::on_feed_closed(core::time_point, feed_connection_id, action_list&) {}
 
 void flows::on_tick(core::time_point now, action_list& actions)
 {
-    if (now < m_impl->next_sweep) {
-        return;
-    }
-    m_impl->next_sweep = now + idle_sweep_interval;
-    for (const auto flow : m_impl->table.idle_since(now - flow_idle_timeout)) {
+    m_impl->feeds.on_tick(now, actions);
+    for (const auto flow : m_impl->mover.on_tick(now, actions)) {
         m_impl->remove(flow, actions);
     }
+    m_impl->sweep(now, actions);
 }
 
 std::size_t flows::held() const noexcept { return m_impl->table.size(); }
-std::size_t flows::subscribers() const noexcept { return 0; }
-const flows::counters& flows::count() const noexcept { return m_impl->count; }
+
+std::size_t flows::subscribers() const noexcept
+{
+    return m_impl->feeds.subscribers() - std::min(m_impl->feeds.subscribers(), m_impl->mover.adopted_feeds());
+}
+
+const flows::counters& flows::count() const noexcept
+{
+    m_impl->count.flows_moved = m_impl->mover.moved();
+    m_impl->count.events_sent = m_impl->feeds.events_sent();
+    return m_impl->count;
+}
 
 } // namespace daisydoor::agent
--- a/src/caller/path_monitor.cpp
+++ b/src/caller/path_monitor.cpp
@@ -68,7 +68,7 @@
 
 void path_monitor::on_ack(core::time_point now, std::uint32_t sequence) noexcept
 {
-    // Sequence 0 confirms a subscription, which proves as much about the path.
+    // The confirmation of a subscription proves as much about the path.
     if (sequence <= m_sequence) {
         restart(now);
     }
--- a/src/caller/session_state.cpp
+++ b/src/caller/session_state.cpp
@@ -155,15 +155,27 @@
     if (body.token && names_same_flow(*body.token, link.token) && body.token->issued_s() >= link.token.issued_s()) {
         link.token = *body.token;
     }
-    if (&link == m_current.get()) {
+    if (body.sequence == wire::closed_sequence) {
+        drop_retired(link);
+    } else if (&link == m_current.get()) {
         m_token = link.token;
         m_path.on_ack(now, body.sequence);
-        if (body.sequence == 0) {
+        if (body.sequence == wire::subscribed_sequence) {
             m_feed.on_subscribed();
         }
     }
 }
 
+void session_state::drop_retired(const flow_link& link)
+{
+    const auto it = std::find_if(m_retired.begin(), m_retired.end(),
+                                 [&link](const retired_link& retired) { return retired.link.get() == &link; });
+    if (it != m_retired.end() && it->link->outstanding.empty()) {
+        m_feed.forget(link);
+        m_retired.erase(it);
+    }
+}
+
 void session_state::confirm_move(const flow_link& old, session_actions& actions) const
 {
     wire::move_confirmT body;
@@ -217,7 +229,7 @@
     m_requests.on_flow_gone(now, link, actions);
     m_feed.forget(link);
     if (&link != m_current.get()) {
-        m_retired.remove_if([&link](const retired_link& retired) { return retired.link.get() == &link; });
+        drop_retired(link);
         return;
     }
     m_current.reset();
@@ -278,8 +290,7 @@
     for (auto it = m_retired.begin(); it != m_retired.end();) {
         const bool is_finished = it->link->outstanding.empty();
         if (is_finished && it->closes >= max_closes) {
-            m_feed.forget(*it->link);
-            it = m_retired.erase(it);
+            drop_retired(*(it++)->link);
             continue;
         }
         if (is_finished && it->close_timer.is_due(now)) {
