--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -1,6 +1,5 @@
 #include "daisydoor/agent/agent_core.hpp"
 
-#include "daisydoor/agent/detail/answer_segments.hpp"
 #include "daisydoor/agent/detail/lifecycle.hpp"
 #include "daisydoor/agent/detail/load_reporter.hpp"
 #include "daisydoor/agent/detail/work_impl.hpp"
@@ -53,8 +52,8 @@
     void on_open(core::time_point now, const wire::envelope& env, wire::bytes_view datagram, action_list& actions);
     void on_established(core::time_point now, const wire::envelope& env, wire::bytes_view datagram,
                         core::milliseconds age, action_list& actions);
-    /// @brief Checks key, MAC, service and host of a token. Counts and answers a datagram that fails.
-    bool check_token(const wire::envelope& env, const wire::packet_header& header, action_list& actions);
+    /// @brief Checks key and MAC of a token and the service address. Counts a datagram that fails.
+    bool check_token(const wire::envelope& env, const wire::packet_header& header);
     void dispatch(core::time_point now, const flow_address& from, wire::packet_bodyUnion& body, core::milliseconds age,
                   action_list& actions);
     /// @brief Puts a configuration in force. Returns whether it lists this host.
@@ -70,8 +69,6 @@
     detail::lifecycle status;
     detail::load_reporter reporter;
     agent_counters count;
-    /// Datagrams answered with flow_gone because the token names another service or host.
-    std::uint64_t foreign_tokens = 0;
     /// Last configuration that lists this service, so that flows outlive its removal while they move away.
     config::snapshot_ptr service_source;
     bool drain_reported = false;
@@ -119,7 +116,7 @@
     sessions.on_open(now, env, decoded->header, *body, datagram, actions);
 }
 
-bool agent_core::impl::check_token(const wire::envelope& env, const wire::packet_header& header, action_list& actions)
+bool agent_core::impl::check_token(const wire::envelope& env, const wire::packet_header& header)
 {
     if (ctx.service == nullptr || ctx.sealer == nullptr) {
         drop(agent_drop_reason::no_configuration);
@@ -135,27 +132,17 @@
         drop(agent_drop_reason::bad_mac);
         return false;
     }
-    const bool own_token =
-        token.service() == core::raw(ctx.options.service) && token.host() == core::raw(ctx.options.host);
-    const bool own_address = wire::from_wire(env.service_address()) == ctx.service->address;
-    if ((own_token && own_address) || core::is_active(core::fault::ignore_token_service)) {
-        return true;
-    }
-    drop(agent_drop_reason::wrong_service);
-    if (own_address) {
-        // The address now belongs to this service, or the host id to this agent: the flow has no holder any more.
-        wire::flow_goneT gone;
-        gone.reason = wire::refusal_reason::flow_gone;
-        detail::send_reply({{}, {}, reply_envelope_of(env, ctx.version()), token}, wire::make_packet(gone), actions);
-        ++foreign_tokens;
+    if (wire::from_wire(env.service_address()) != ctx.service->address) {
+        drop(agent_drop_reason::wrong_service);
+        return false;
     }
-    return false;
+    return true;
 }
 
 void agent_core::impl::on_established(core::time_point now, const wire::envelope& env, wire::bytes_view datagram,
                                       core::milliseconds age, action_list& actions)
 {
-    if (!check_token(env, *wire::header_of(datagram), actions)) {
+    if (!check_token(env, *wire::header_of(datagram))) {
         return;
     }
     auto decoded =
@@ -169,8 +156,16 @@
         drop(agent_drop_reason::unexpected_kind);
         return;
     }
+    const auto& token = decoded->header.token();
+    const bool own_token =
+        (token.service() == core::raw(ctx.options.service) || core::is_active(core::fault::ignore_token_service)) &&
+        token.host() == core::raw(ctx.options.host);
+    if (!own_token) {
+        // The address now belongs to this service, or the host to this agent: find() answers that the flow is gone.
+        drop(agent_drop_reason::wrong_service);
+    }
     const auto from = sessions.find(now, env, decoded->header, body, actions);
-    if (from) {
+    if (from && own_token) {
         dispatch(now, *from, body, age, actions);
     }
 }
@@ -433,7 +428,7 @@
     result.requests_unknown = work_count.unknown;
     result.handed_to_peers = work_count.handed_to_peers;
     result.taken_from_peers = work_count.taken_from_peers;
-    result.flows_gone = flow_count.flows_gone + m_impl->foreign_tokens;
+    result.flows_gone = flow_count.flows_gone;
     result.flows_moved = flow_count.flows_moved;
     result.events_sent = flow_count.events_sent;
     return result;
