--- /dev/null
+++ b/tests/unit/unit-agent-handover.cpp
@@ -0,0 +1,347 @@
+#include "support/work_harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace daisydoor::agent
+{
+namespace
+{
+
+using support::work_agent;
+using wire::refusal_kind;
+using wire::refusal_reason;
+using wire::request_kind;
+
+constexpr std::uint32_t home = 1;
+constexpr std::uint32_t peer = 2;
+constexpr std::uint64_t home_run = 7;
+constexpr std::uint64_t peer_run = 8;
+
+class handover_test : public ::testing::Test
+{
+  protected:
+    handover_test()
+    {
+        agent.peer_up(now, peer, peer_run);
+        agent.report_from(now, peer, 0);
+    }
+
+    /// Fills the only slot and queues the numbers 2 to `last`.
+    exchange_id fill(std::uint64_t last, request_kind kind = request_kind::non_idempotent)
+    {
+        for (std::uint64_t number = 1; number <= last; ++number) {
+            agent.request(now, from, number, kind);
+        }
+        const auto ids = agent.started();
+        EXPECT_EQ(ids.size(), 1U);
+        return ids.at(0);
+    }
+
+    /// Hands number 2 over to the peer.
+    wire::work_id hand_over(request_kind kind = request_kind::non_idempotent)
+    {
+        running = fill(2, kind);
+        agent.report_from(now, peer, 1);
+        for (const auto& item : agent.sent()) {
+            if (const auto* body = item.message.body.Ashandover()) {
+                return *body->id;
+            }
+        }
+        ADD_FAILURE() << "nothing was handed over";
+        return {};
+    }
+
+    void result(const wire::work_id& id, wire::work_outcome outcome, refusal_reason reason = refusal_reason::none)
+    {
+        wire::handover_resultT body;
+        body.id = std::make_unique<wire::work_id>(id);
+        body.outcome = outcome;
+        body.reason = reason;
+        body.status = 200;
+        agent.message(now, peer, wire::make_peer_message(core::config_version{1}, std::move(body)));
+    }
+
+    std::size_t sent_queries()
+    {
+        std::size_t n = 0;
+        for (const auto& item : agent.sent()) {
+            n += item.message.body.Asoutcome_query() != nullptr ? 1 : 0;
+        }
+        return n;
+    }
+
+    work_agent agent{home, home_run, support::make_work_snapshot(3, 1)};
+    flow_address from = work_agent::flow(5);
+    core::time_point now = support::work_epoch;
+    exchange_id running{};
+};
+
+// Guards against more work handed over than the peer has room for, and against a peer that asks in vain.
+TEST_F(handover_test, report_free_slots_taken_once)
+{
+    fill(6);
+    agent.report_from(now, peer, 2);
+    EXPECT_EQ(agent.sent().size(), 2U);
+    EXPECT_EQ(agent.requests.queued(), 3U);
+    wire::work_requestT request;
+    request.count = 1;
+    agent.message(now, peer, wire::make_peer_message(core::config_version{1}, request));
+    EXPECT_EQ(agent.sent().size(), 1U);
+    now += peer_timeout;
+    agent.message(now, peer, wire::make_peer_message(core::config_version{1}, request));
+    EXPECT_TRUE(agent.sent().empty());
+}
+
+// Guards against work that crosses availability zones before the preset's queue is reached.
+TEST_F(handover_test, report_other_zone_spills_above_preset_queue)
+{
+    agent.m_snapshot->policies.at(static_cast<std::size_t>(config::preset::ordinary)).zone_spill_queue = 2;
+    agent.ctx.peers[core::host_id{peer}].zone = "zone-b";
+    fill(3);
+    agent.report_from(now, peer, 5);
+    EXPECT_TRUE(agent.sent().empty());
+    agent.request(now, from, 4, request_kind::non_idempotent);
+    EXPECT_EQ(agent.sent().size(), 1U);
+}
+
+// Guards against an idle agent that leaves work waiting at a busy peer, and against floods of requests for work.
+TEST_F(handover_test, report_queued_work_requested_with_pause)
+{
+    const auto requests = [this] {
+        std::size_t n = 0;
+        for (const auto& item : agent.sent()) {
+            n += item.message.body.Aswork_request() != nullptr ? 1 : 0;
+        }
+        return n;
+    };
+    agent.report_from(now, peer, 0, 4);
+    EXPECT_EQ(requests(), 1U);
+    agent.requests.on_tick(now, agent.actions);
+    EXPECT_EQ(requests(), 0U);
+    now += report_min_gap;
+    agent.requests.on_tick(now, agent.actions);
+    EXPECT_EQ(requests(), 1U);
+}
+
+// Guards against a posting that runs at home while the peer may run it, and against work that is lost by a rejection.
+TEST_F(handover_test, result_rejected_runs_at_home)
+{
+    const auto id = hand_over();
+    agent.finish(now, running, exchange_status::answered);
+    agent.tell();
+    EXPECT_TRUE(agent.started().empty());
+    result(id, wire::work_outcome::not_run, refusal_reason::queue_full);
+    EXPECT_EQ(agent.started().size(), 1U);
+    EXPECT_NE(agent.sent().at(0).message.body.Asresult_ack(), nullptr);
+}
+
+// Guards against claims about a posting whose record was lost with the peer's run.
+TEST_F(handover_test, peer_restarted_posting_unknown)
+{
+    hand_over();
+    agent.peer_down(now, peer);
+    EXPECT_TRUE(agent.tell().empty());
+    agent.peer_up(now, peer, peer_run + 1);
+    const auto told = agent.tell();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].kind, refusal_kind::unknown);
+    EXPECT_EQ(told[0].reason, refusal_reason::peer_lost);
+}
+
+// Guards against a posting that waits for ever for a peer behind a partition, or that is refused as not run.
+TEST_F(handover_test, deadline_peer_away_posting_unknown)
+{
+    hand_over();
+    agent.peer_down(now, peer);
+    now += core::milliseconds{999};
+    agent.requests.on_tick(now, agent.actions);
+    agent.tell();
+    now += core::milliseconds{1};
+    agent.requests.on_tick(now, agent.actions);
+    const auto told = agent.tell();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].number, 2U);
+    EXPECT_EQ(told[0].kind, refusal_kind::unknown);
+}
+
+// Guards against a link loss that leaves the outcome open although the peer still knows it.
+TEST_F(handover_test, link_back_outcome_queried)
+{
+    const auto id = hand_over();
+    agent.peer_down(now, peer);
+    agent.peer_up(now, peer, peer_run);
+    EXPECT_EQ(sent_queries(), 1U);
+    result(id, wire::work_outcome::running);
+    EXPECT_TRUE(agent.tell().empty());
+    result(id, wire::work_outcome::answered);
+    EXPECT_TRUE(agent.tell().at(0).answered);
+    result(id, wire::work_outcome::answered);
+    EXPECT_TRUE(agent.tell().empty());
+}
+
+// Guards against shed idempotent requests that wander through the whole service.
+TEST_F(handover_test, shed_idempotent_offered_to_one_peer)
+{
+    agent.peer_up(now, 3, 9);
+    agent.report_from(now, 3, 0);
+    agent.request(now, from, 1, request_kind::idempotent);
+    agent.finish(now, agent.started().at(0), exchange_status::answered, 503);
+    const auto sent = agent.sent();
+    ASSERT_EQ(sent.size(), 1U);
+    ASSERT_NE(sent[0].message.body.Ashandover(), nullptr);
+    result(*sent[0].message.body.Ashandover()->id, wire::work_outcome::not_run, refusal_reason::target_shed);
+    const auto told = agent.tell();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].kind, refusal_kind::not_run);
+    EXPECT_EQ(told[0].reason, refusal_reason::target_shed);
+}
+
+// Guards against work that a drained or ejected agent keeps although a peer could run it.
+TEST_F(handover_test, request_at_drained_agent_handed_over)
+{
+    agent.ctx.own.state = wire::agent_state::draining;
+    agent.ctx.own.drain_started = now - core::seconds{3};
+    agent.request(now, from, 1, request_kind::non_idempotent);
+    EXPECT_TRUE(agent.started().empty());
+    const auto sent = agent.sent();
+    ASSERT_EQ(sent.size(), 1U);
+    ASSERT_NE(sent[0].message.body.Ashandover(), nullptr);
+    result(*sent[0].message.body.Ashandover()->id, wire::work_outcome::not_run, refusal_reason::queue_full);
+    const auto told = agent.tell();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].reason, refusal_reason::draining);
+}
+
+class executor_test : public ::testing::Test
+{
+  protected:
+    executor_test() { agent.peer_up(now, home, home_run); }
+
+    wire::handoverT work(std::uint64_t number) const
+    {
+        wire::handoverT body;
+        body.id = std::make_unique<wire::work_id>(home_run, 5, number, home);
+        body.kind = request_kind::non_idempotent;
+        body.path = "/p";
+        body.deadline_ms = 1000;
+        return body;
+    }
+
+    template <typename Body>
+    void deliver(Body body)
+    {
+        agent.message(now, home, wire::make_peer_message(core::config_version{1}, std::move(body)));
+    }
+
+    void query(std::uint64_t number, bool cancel_work = false)
+    {
+        wire::outcome_queryT body;
+        body.id = std::make_unique<wire::work_id>(home_run, 5, number, home);
+        body.cancel_work = cancel_work;
+        deliver(std::move(body));
+    }
+
+    void acknowledge(std::uint64_t number)
+    {
+        wire::result_ackT body;
+        body.id = std::make_unique<wire::work_id>(home_run, 5, number, home);
+        deliver(std::move(body));
+    }
+
+    std::vector<wire::handover_resultT> results()
+    {
+        std::vector<wire::handover_resultT> list;
+        for (const auto& item : agent.sent()) {
+            if (const auto* body = item.message.body.Ashandover_result()) {
+                list.push_back(*body);
+            }
+        }
+        return list;
+    }
+
+    work_agent agent{peer, peer_run, support::make_work_snapshot(2, 1)};
+    core::time_point now = support::work_epoch;
+};
+
+// Guards against a hand-over that arrives after the fence and runs: the home agent has run the work itself by then.
+TEST_F(executor_test, handover_after_fence_never_starts)
+{
+    query(1);
+    ASSERT_EQ(results().at(0).outcome, wire::work_outcome::not_run);
+    acknowledge(1);
+    deliver(work(1));
+    EXPECT_TRUE(agent.started().empty());
+    EXPECT_EQ(results().at(0).outcome, wire::work_outcome::not_run);
+    now += core::seconds{599};
+    agent.requests.on_tick(now, agent.actions);
+    EXPECT_EQ(agent.requests.records(), 1U);
+    now += core::seconds{1};
+    agent.requests.on_tick(now, agent.actions);
+    EXPECT_EQ(agent.requests.records(), 0U);
+}
+
+// Guards against a fence that answers `not_run` for queued work and lets it start later.
+TEST_F(executor_test, query_by_state_outcome_truthful)
+{
+    deliver(work(1));
+    deliver(work(2));
+    const auto ids = agent.started();
+    ASSERT_EQ(ids.size(), 1U);
+    query(2);
+    EXPECT_EQ(results().at(0).outcome, wire::work_outcome::not_run);
+    query(1);
+    EXPECT_EQ(results().at(0).outcome, wire::work_outcome::running);
+    EXPECT_TRUE(agent.actions.empty());
+    query(1, true);
+    EXPECT_EQ(std::get<cancel_exchange>(agent.actions.at(0)).id, ids[0]);
+    EXPECT_EQ(results().at(0).outcome, wire::work_outcome::running);
+    agent.finish(now, ids[0], exchange_status::broken);
+    EXPECT_EQ(results().at(0).outcome, wire::work_outcome::unknown);
+    EXPECT_TRUE(agent.started().empty());
+    acknowledge(1);
+    acknowledge(2);
+    EXPECT_EQ(agent.requests.records(), 0U);
+}
+
+// Guards against results that are lost when the link breaks before they are sent.
+TEST_F(executor_test, result_without_link_kept_for_query)
+{
+    deliver(work(1));
+    const auto ids = agent.started();
+    agent.peer_down(now, home);
+    agent.finish(now, ids.at(0), exchange_status::answered, 200, {1, 2, 3});
+    EXPECT_TRUE(agent.sent().empty());
+    agent.peer_up(now, home, home_run);
+    query(1);
+    const auto list = results();
+    ASSERT_EQ(list.size(), 1U);
+    EXPECT_EQ(list[0].outcome, wire::work_outcome::answered);
+    EXPECT_EQ(list[0].payload.size(), 3U);
+}
+
+// Guards against work accepted by an agent that should not start any, and for a home agent that no longer exists.
+TEST_F(executor_test, handover_unfit_rejected)
+{
+    const auto expect_rejected = [this](std::uint64_t number, refusal_reason reason) {
+        deliver(work(number));
+        const auto list = results();
+        ASSERT_EQ(list.size(), 1U);
+        EXPECT_EQ(list[0].outcome, wire::work_outcome::not_run);
+        EXPECT_EQ(list[0].reason, reason);
+    };
+    agent.ctx.own.state = wire::agent_state::draining;
+    agent.ctx.own.drain_started = now;
+    expect_rejected(1, refusal_reason::draining);
+    agent.ctx.own.state = wire::agent_state::ejected;
+    expect_rejected(2, refusal_reason::no_target);
+    agent.ctx.own.state = wire::agent_state::active;
+    agent.ctx.own.awaiting_confirmation = true;
+    expect_rejected(3, refusal_reason::no_configuration);
+    agent.ctx.own.awaiting_confirmation = false;
+    agent.peer_up(now, home, home_run + 1);
+    expect_rejected(4, refusal_reason::peer_lost);
+    EXPECT_TRUE(agent.started().empty());
+}
+
+} // namespace
+} // namespace daisydoor::agent
