--- a/tests/support/published_text.cpp
+++ b/tests/support/published_text.cpp
@@ -37,7 +37,7 @@
 
 std::string published_text::part_text(std::size_t part) const
 {
-    std::string text = "services:\n";
+    std::string text = parts.at(part).empty() ? "services: []\n" : "services:\n";
     for (const auto& service : parts.at(part)) {
         text += "  - id: " + std::to_string(service.id) + "\n    name: service-" + std::to_string(service.id) +
                 "\n    address: " + service_address(service.id) + "\n    preset: " + service.preset +
@@ -56,7 +56,7 @@
     std::map<std::string, std::string> result;
     std::string index = "version: " + std::to_string(version) + "\nzones:\n";
     for (const auto& [name, share] : zones) {
-        index += "  - {name: " + name + ", entry_share: " + share + "}\n";
+        index.append("  - {name: ").append(name).append(", entry_share: ").append(share).append("}\n");
     }
     index += "keys:\n";
     for (const auto key : keys) {
@@ -106,7 +106,7 @@
         const auto end = static_cast<std::uint32_t>(hosts * (i + 1) / services);
         while (host < end) {
             ++host;
-            service.hosts.push_back({host, result.zones[host % zones].first});
+            service.hosts.push_back({host, result.zones.at(host % result.zones.size()).first});
         }
         result.parts.back().push_back(std::move(service));
     }
