--- a/include/daisydoor/caller/client.hpp
+++ b/include/daisydoor/caller/client.hpp
@@ -100,7 +100,7 @@
     /// @brief Follows the feed at `path` from the event after `last_event`; 0 starts with the next event.
     /// A second call replaces the feed. @throws caller_error with errc::not_open or errc::bad_argument
     void subscribe(const std::string& path, core::event_id last_event, event_handler handler);
-    /// @brief Ends the session. Outstanding requests get the outcome `unknown`.
+    /// @brief Ends the session. Outstanding requests get `unknown`, or `not_run` if they were never sent.
     void close();
 
     /// @brief Blocking open(). @throws caller_error with errc::open_failed or errc::foreign_loop
--- a/src/caller/client_impl.cpp
+++ b/src/caller/client_impl.cpp
@@ -123,7 +123,7 @@
     const auto number = kind == wire::request_kind::idempotent
                             ? m_session.request(now, path, deadline, actions)
                             : m_session.post(now, path, std::move(payload), deadline, actions);
-    m_requests[number] = std::move(handler);
+    m_requests[number] = handler ? std::move(handler) : [](const outcome&) {};
     apply(actions);
     return number;
 }
--- /dev/null
+++ b/tests/process/process_fixture.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "standins/common/record.hpp"
+#include "support/fleet.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace daisydoor::process_test
+{
+
+/// @brief Fleet of real processes under the load of standin_callers, with an oracle over their told outcomes.
+class process_test : public testing::Test
+{
+  protected:
+    void start(const support::fleet_plan& plan = {}, const std::vector<std::string>& load = {})
+    {
+        m_fleet = std::make_unique<support::fleet>(plan, DAISYDOOR_BINARY_DIR);
+        m_fleet->start();
+        std::vector<std::string> options{
+            "--sessions", "12", "--feeds", "4", "--duration-s", "120", "--request-interval-ms", "60"};
+        options.insert(options.end(), load.begin(), load.end());
+        m_fleet->start_callers(options);
+        ASSERT_TRUE(m_fleet->await_progress_of_all()) << "the fleet serves nobody: " << m_fleet->caller_stats();
+    }
+
+    void TearDown() override
+    {
+        if (HasFailure() && m_fleet) {
+            m_fleet->keep_folder();
+            std::cout << "logs are kept in " << m_fleet->folder().string() << '\n';
+        }
+    }
+
+    support::fleet& fleet() { return *m_fleet; }
+
+    /// @brief Every session gets an answer and every feed an event from now on.
+    void expect_progress_of_all(const char* after)
+    {
+        EXPECT_TRUE(m_fleet->await_progress_of_all()) << "after " << after << ": " << m_fleet->caller_stats();
+    }
+
+    /// @brief Ends the callers and compares what they were told with what targets ran.
+    standins::audit_result finish()
+    {
+        const auto totals = m_fleet->finish_callers();
+        EXPECT_FALSE(totals.empty()) << "the callers failed";
+        std::cout << totals << '\n';
+        std::ifstream record_file(m_fleet->record_path());
+        const auto record = standins::read_record(record_file);
+        std::vector<standins::execution> executions;
+        for (const auto& path : m_fleet->execution_logs()) {
+            std::ifstream in(path);
+            const auto more = standins::read_executions(in);
+            executions.insert(executions.end(), more.begin(), more.end());
+        }
+        return standins::audit(record, executions);
+    }
+
+    /// @brief Rules that hold through any failure: R2 to R5, and a feed without gaps and repeats.
+    static void expect_sound(const standins::audit_result& result)
+    {
+        EXPECT_GT(result.answered, 0U);
+        EXPECT_EQ(result.lost, 0U);
+        EXPECT_EQ(result.doubled, 0U);
+        EXPECT_EQ(result.misrouted, 0U);
+        EXPECT_EQ(result.untrue_refusals, 0U);
+        EXPECT_EQ(result.wrong_answers, 0U);
+        EXPECT_EQ(result.feed_gaps, 0U);
+        EXPECT_EQ(result.feed_repeats, 0U);
+        EXPECT_EQ(result.stalled_feeds, 0U);
+        for (const auto& it : result.findings) {
+            ADD_FAILURE() << it;
+        }
+    }
+
+  private:
+    std::unique_ptr<support::fleet> m_fleet;
+};
+
+} // namespace daisydoor::process_test
--- /dev/null
+++ b/tests/process/unit-process-partition.cpp
@@ -0,0 +1,69 @@
+#include "process_fixture.hpp"
+
+namespace daisydoor::process_test
+{
+
+namespace
+{
+
+support::fleet_plan relayed_plan()
+{
+    support::fleet_plan plan;
+    plan.relays_agents = true;
+    plan.services = {{1, "ledger", {{11, "zone-a"}, {12, "zone-b"}, {13, "zone-a"}}}};
+    return plan;
+}
+
+class partition_process_test : public process_test
+{
+};
+
+class silence_process_test : public process_test
+{
+};
+
+} // namespace
+
+// Guards against work that runs on both sides of a cut link, or is told `not_run` though the peer ran it.
+TEST_F(partition_process_test, cut_between_two_agents_doubles_nothing)
+{
+    ASSERT_NO_FATAL_FAILURE(start(relayed_plan(), {"--posting-share", "0.7", "--request-interval-ms", "30"}));
+    ASSERT_TRUE(fleet().control_fabric("cut_link=11&with=12"));
+    expect_progress_of_all("the cut");
+    ASSERT_TRUE(fleet().control_fabric("restore_link=11&with=12"));
+    expect_progress_of_all("the end of the cut");
+    expect_sound(finish());
+}
+
+// Guards against callers that stay with an agent that nobody reaches, and against its work being told `not_run`.
+TEST_F(partition_process_test, cut_of_one_agent_is_survived)
+{
+    ASSERT_NO_FATAL_FAILURE(start(relayed_plan(), {"--posting-share", "0.7"}));
+    ASSERT_TRUE(fleet().control_fabric("cut_host=13"));
+    expect_progress_of_all("the cut");
+    ASSERT_TRUE(fleet().control_fabric("restore_host=13"));
+    expect_progress_of_all("the end of the cut");
+    expect_sound(finish());
+}
+
+// Guards against an agent whose answers are lost being taken for one that did not get the requests.
+TEST_F(partition_process_test, cut_return_path_of_one_agent_is_survived)
+{
+    ASSERT_NO_FATAL_FAILURE(start({}, {"--posting-share", "0.7"}));
+    ASSERT_TRUE(fleet().control_fabric("cut=" + fleet().agent_address(11)));
+    expect_progress_of_all("the cut");
+    ASSERT_TRUE(fleet().control_fabric("restore=" + fleet().agent_address(11)));
+    expect_progress_of_all("the end of the cut");
+    expect_sound(finish());
+}
+
+// Guards against sessions that wait forever on a path that lost track of them.
+TEST_F(silence_process_test, forgotten_paths_are_left)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_TRUE(fleet().control_fabric("forget=all"));
+    expect_progress_of_all("the fabric forgot every path");
+    expect_sound(finish());
+}
+
+} // namespace daisydoor::process_test
--- /dev/null
+++ b/tests/process/unit-process.cpp
@@ -0,0 +1,190 @@
+#include "process_fixture.hpp"
+
+#include <csignal>
+#include <thread>
+
+namespace daisydoor::process_test
+{
+
+namespace
+{
+
+/// Above pause_threshold and peer_timeout, so that the process wakes with an outdated view.
+constexpr core::milliseconds freeze_time{2500};
+
+class whole_path_test : public process_test
+{
+};
+
+class entry_process_test : public process_test
+{
+};
+
+class agent_process_test : public process_test
+{
+};
+
+class target_process_test : public process_test
+{
+};
+
+class platform_process_test : public process_test
+{
+};
+
+} // namespace
+
+// Guards against answers that are lost, crossed or cut short on a path without failures.
+TEST_F(whole_path_test, load_without_failure_is_answered)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    expect_progress_of_all("the start");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.unknown, 0U);
+    EXPECT_EQ(result.broken_flows, 0U);
+}
+
+// Guards against a path that relies on datagrams arriving once and in order.
+TEST_F(whole_path_test, load_over_lossy_fabric_is_answered)
+{
+    support::fleet_plan plan;
+    plan.fabric_options = {"--loss", "0.05", "--duplicate", "0.05", "--reorder", "0.2"};
+    ASSERT_NO_FATAL_FAILURE(start(plan));
+    expect_progress_of_all("the start");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+}
+
+// Guards against flows that depend on the entry that they were opened through.
+TEST_F(entry_process_test, killed_entry_breaks_no_flow)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    fleet().entry(0).kill();
+    expect_progress_of_all("the kill of an entry");
+    fleet().start_entry(0);
+    expect_progress_of_all("the restart of the entry");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+}
+
+// Guards against an entry that acts on datagrams or a configuration from before its pause.
+TEST_F(entry_process_test, frozen_entry_breaks_no_flow)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    fleet().entry(1).send_signal(SIGSTOP);
+    std::this_thread::sleep_for(freeze_time);
+    fleet().entry(1).send_signal(SIGCONT);
+    expect_progress_of_all("the pause of an entry");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+}
+
+// Guards against postings that a restarted agent runs again, and against flows that stay with the dead incarnation.
+TEST_F(agent_process_test, killed_and_restarted_agent_runs_no_posting_twice)
+{
+    ASSERT_NO_FATAL_FAILURE(start({}, {"--posting-share", "0.7"}));
+    fleet().agent(11).kill();
+    expect_progress_of_all("the kill of an agent");
+    fleet().start_agent(11);
+    expect_progress_of_all("the restart of the agent");
+    expect_sound(finish());
+}
+
+// Guards against an agent that runs expired work after a pause, or that its peers' fences cannot hold.
+TEST_F(agent_process_test, frozen_agent_runs_no_refused_work)
+{
+    ASSERT_NO_FATAL_FAILURE(start({}, {"--posting-share", "0.7"}));
+    fleet().agent(21).send_signal(SIGSTOP);
+    std::this_thread::sleep_for(freeze_time);
+    fleet().agent(21).send_signal(SIGCONT);
+    expect_progress_of_all("the pause of an agent");
+    expect_sound(finish());
+}
+
+// Guards against refusals `not_run` for work that the killed target had begun, and feeds that end with it.
+TEST_F(target_process_test, killed_target_is_left_and_used_again)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    fleet().target(12).kill();
+    expect_progress_of_all("the kill of a target");
+    fleet().start_target(12);
+    expect_progress_of_all("the restart of the target");
+    expect_sound(finish());
+}
+
+// Guards against a drain that interrupts requests, breaks flows, or never ends.
+TEST_F(target_process_test, drained_target_breaks_no_flow)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_TRUE(fleet().control_target(22, "mode=draining"));
+    EXPECT_TRUE(fleet().agent(22).wait(core::milliseconds(40'000))) << "the drained agent still holds flows";
+    expect_progress_of_all("the drain");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+    EXPECT_EQ(result.unknown, 0U);
+}
+
+// Guards against a drain by configuration that differs from one by the target.
+TEST_F(target_process_test, host_drained_by_configuration_breaks_no_flow)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    fleet().host(11).draining = true;
+    fleet().publish();
+    EXPECT_TRUE(fleet().agent(11).wait(core::milliseconds(40'000))) << "the drained agent still holds flows";
+    expect_progress_of_all("the drain");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+    EXPECT_EQ(result.unknown, 0U);
+}
+
+// Guards against feeds that stay on a connection that went silent at the target.
+TEST_F(target_process_test, silent_feed_connections_are_replaced)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    for (const auto host : {11U, 12U, 21U, 22U}) {
+        ASSERT_TRUE(fleet().control_target(host, "feeds=silent"));
+    }
+    expect_progress_of_all("the silence of the feed connections");
+    expect_sound(finish());
+}
+
+// Guards against flows that need the platform, and against an entry that cannot start without it.
+TEST_F(platform_process_test, platform_down_stops_nothing)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_TRUE(fleet().control_platform("mode=down"));
+    expect_progress_of_all("the platform went down");
+    fleet().entry(2).kill();
+    fleet().start_entry(2);
+    // Only the restarted entry is left, so that progress shows that it got the configuration from peers.
+    fleet().entry(0).kill();
+    expect_progress_of_all("an entry restarted without the platform");
+    ASSERT_TRUE(fleet().control_platform("mode=up"));
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+}
+
+// Guards against a configuration that reverts when the platform serves an older version.
+TEST_F(platform_process_test, stale_platform_reverts_nothing)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    const auto old_values = fleet().folder() / "old";
+    std::filesystem::copy(fleet().folder() / "values", old_values, std::filesystem::copy_options::recursive);
+    fleet().host(12).draining = true;
+    fleet().publish();
+    EXPECT_TRUE(fleet().agent(12).wait(core::milliseconds(40'000)));
+    ASSERT_TRUE(fleet().control_platform("serve=" + old_values.string()));
+    expect_progress_of_all("the platform went back to an older version");
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+}
+
+} // namespace daisydoor::process_test
--- a/tests/standins/audit/main.cpp
+++ b/tests/standins/audit/main.cpp
@@ -11,8 +11,6 @@
 
 using namespace daisydoor;
 
-constexpr std::size_t most_printed_findings = 20;
-
 std::ifstream open_file(const std::string& path)
 {
     std::ifstream in(path);
@@ -22,23 +20,6 @@
     return in;
 }
 
-/// @return whether all rules hold
-bool print(const standins::audit_result& result)
-{
-    for (std::size_t i = 0; i < result.findings.size() && i < most_printed_findings; ++i) {
-        std::cout << "finding: " << result.findings[i] << '\n';
-    }
-    std::cout << "audit: unknown=" << result.unknown << " untrue_refusals=" << result.untrue_refusals
-              << " wrong_answers=" << result.wrong_answers << " feed_gaps=" << result.feed_gaps
-              << " feed_repeats=" << result.feed_repeats << " stalled_feeds=" << result.stalled_feeds << '\n';
-    std::cout << "demo: requests=" << result.requests << " answered=" << result.answered
-              << " refused=" << result.refused << " lost=" << result.lost << " doubled=" << result.doubled
-              << " broken_flows=" << result.broken_flows << " misrouted=" << result.misrouted << '\n';
-    const auto faults = result.lost + result.doubled + result.broken_flows + result.misrouted + result.untrue_refusals +
-                        result.wrong_answers + result.feed_gaps + result.feed_repeats + result.stalled_feeds;
-    return result.answered > 0 && faults == 0;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -58,7 +39,7 @@
             const auto more = standins::read_executions(in);
             executions.insert(executions.end(), more.begin(), more.end());
         }
-        return print(standins::audit(record, executions)) ? 0 : 1;
+        return standins::print_audit(std::cout, standins::audit(record, executions)) ? 0 : 1;
     } catch (const std::exception& ex) {
         std::cerr << "standin_audit: " << ex.what() << '\n';
         return 1;
--- a/tests/standins/common/record.cpp
+++ b/tests/standins/common/record.cpp
@@ -13,6 +13,7 @@
 
 /// A feed whose last event is this many events (20 s) old at the end has stalled: longer than any repair takes.
 constexpr std::uint64_t stalled_events = 100;
+constexpr std::size_t most_printed_findings = 20;
 
 [[noreturn]] void throw_malformed(const std::string& line)
 {
@@ -163,4 +164,21 @@
     return result;
 }
 
+bool print_audit(std::ostream& out, const audit_result& result)
+{
+    for (std::size_t i = 0; i < result.findings.size() && i < most_printed_findings; ++i) {
+        out << "finding: " << result.findings[i] << '\n';
+    }
+    out << "audit: unknown=" << result.unknown << " untrue_refusals=" << result.untrue_refusals
+        << " wrong_answers=" << result.wrong_answers << " feed_gaps=" << result.feed_gaps
+        << " feed_repeats=" << result.feed_repeats << " stalled_feeds=" << result.stalled_feeds << '\n';
+    out << "demo: requests=" << result.requests << " answered=" << result.answered << " refused=" << result.refused
+        << " lost=" << result.lost << " doubled=" << result.doubled << " broken_flows=" << result.broken_flows
+        << " misrouted=" << result.misrouted << std::endl;
+    const auto faults = result.lost + result.doubled + result.broken_flows + result.misrouted +
+                        result.untrue_refusals + result.wrong_answers + result.feed_gaps + result.feed_repeats +
+                        result.stalled_feeds;
+    return result.answered > 0 && faults == 0;
+}
+
 } // namespace daisydoor::standins
--- a/tests/standins/common/record.hpp
+++ b/tests/standins/common/record.hpp
@@ -87,4 +87,8 @@
 
 audit_result audit(const caller_record& record, const std::vector<execution>& executions);
 
+/// @brief Prints the first findings and the counts; the last line has the form `demo: requests=N ... misrouted=N`.
+/// @return whether something was answered and no rule was broken
+bool print_audit(std::ostream& out, const audit_result& result);
+
 } // namespace daisydoor::standins
--- a/tests/standins/fabric/control.cpp
+++ b/tests/standins/fabric/control.cpp
@@ -20,6 +20,7 @@
     try {
         apply(call);
         apply_cuts(call);
+        apply_host_cuts(call);
         reply(request, HTTP_OK, "ok\n");
     } catch (const std::exception& ex) {
         reply(request, HTTP_BADREQUEST, std::string(ex.what()) + "\n");
@@ -63,6 +64,26 @@
     }
 }
 
+void fabric::apply_host_cuts(const http_call& call)
+{
+    const auto host = [&call](const char* name) { return static_cast<std::uint32_t>(call.number(name, 0)); };
+    if (call.find("cut_host")) {
+        m_cut_hosts.insert(host("cut_host"));
+    }
+    if (call.find("restore_host")) {
+        m_cut_hosts.erase(host("restore_host"));
+    }
+    if (call.find("cut_link")) {
+        m_cut_links.insert(std::minmax({host("cut_link"), host("with")}));
+    }
+    if (call.find("restore_link")) {
+        m_cut_links.erase(std::minmax({host("restore_link"), host("with")}));
+    }
+    for (const auto& it : m_relays) {
+        it->links->refresh();
+    }
+}
+
 void fabric::forget(const std::string& which)
 {
     if (which == "all") {
--- a/tests/standins/fabric/fabric.cpp
+++ b/tests/standins/fabric/fabric.cpp
@@ -37,6 +37,11 @@
     for (const auto& entry : m_options.entries) {
         add_entry(entry);
     }
+    for (const auto& agent : m_options.agents) {
+        if (!agent.published.empty()) {
+            add_relay(agent);
+        }
+    }
     m_control = std::make_unique<http_server>(events, m_options.control,
                                               [this](evhttp_request* request) { on_control(request); });
 }
@@ -148,8 +153,55 @@
     }
 }
 
+void fabric::add_relay(const fabric_agent& agent)
+{
+    auto path = std::make_unique<agent_path>();
+    path->agent = agent;
+    path->socket = std::make_unique<udp_socket>(
+        m_loop, agent.published,
+        [this, target = path.get()](const std::uint8_t* data, std::size_t size, const core::endpoint& from) {
+            on_relayed_datagram(*target, data, size, from);
+        });
+    link_relay::policy rules;
+    rules.is_cut = [this, agent](const link_end& from) { return is_path_cut(from.zone, from.host, agent); };
+    rules.delay = [this, agent](const link_end& from) { return delay_between(from.zone, agent.zone); };
+    path->links = std::make_unique<link_relay>(m_loop, agent.published, agent.address, std::move(rules));
+    m_relays.push_back(std::move(path));
+}
+
+void fabric::on_relayed_datagram(const agent_path& path, const std::uint8_t* data, std::size_t size,
+                                 const core::endpoint& from)
+{
+    const auto zone = zone_of(from);
+    if (is_path_cut(zone, 0, path.agent)) {
+        ++m_counters.cut;
+        return;
+    }
+    transmit(delay_between(zone, path.agent.zone), [target = &path, bytes = wire::buffer(data, data + size)] {
+        target->socket->send_to(bytes, target->agent.address);
+    });
+}
+
+bool fabric::is_path_cut(const std::string& zone, std::uint32_t host, const fabric_agent& agent) const
+{
+    const bool crosses = zone != agent.zone;
+    return m_cut_hosts.count(agent.host) > 0 || m_cut_hosts.count(host) > 0 ||
+           m_cut_links.count(std::minmax(host, agent.host)) > 0 ||
+           (crosses && (m_cut_zones.count(zone) > 0 || m_cut_zones.count(agent.zone) > 0));
+}
+
+core::milliseconds fabric::delay_between(const std::string& a, const std::string& b) const
+{
+    return a == b ? core::milliseconds(0) : m_options.zone_delay;
+}
+
 bool fabric::is_cut(const core::endpoint& address) const
 {
+    const auto agent = std::find_if(m_options.agents.begin(), m_options.agents.end(),
+                                    [&](const fabric_agent& it) { return it.address == address; });
+    if (agent != m_options.agents.end() && m_cut_hosts.count(agent->host) > 0) {
+        return true;
+    }
     return m_cut_addresses.count(address) > 0 || m_cut_zones.count(zone_of(address)) > 0;
 }
 
--- a/tests/standins/fabric/fabric.hpp
+++ b/tests/standins/fabric/fabric.hpp
@@ -4,6 +4,7 @@
 #include "daisydoor/wire/datagram.hpp"
 #include "standins/common/http.hpp"
 #include "standins/common/udp.hpp"
+#include "standins/fabric/link_relay.hpp"
 
 #include <map>
 #include <memory>
@@ -24,8 +25,10 @@
 {
     std::uint32_t host = 0;
     std::string zone;
-    /// Address in the published configuration.
+    /// Where the agent listens.
     core::endpoint address;
+    /// Address in the published configuration if it differs; the fabric relays datagrams and links from there.
+    core::endpoint published;
 };
 
 struct fabric_options
@@ -37,6 +40,8 @@
     std::vector<fabric_agent> agents;
     std::uint64_t seed = 1;
     core::milliseconds caller_delay{0};
+    /// Of datagrams and links between availability zones that the fabric relays.
+    core::milliseconds zone_delay{0};
     double loss = 0;
     double duplicate = 0;
     double reorder = 0;
@@ -58,6 +63,14 @@
         core::time_point down_until;
     };
 
+    /// Paths of datagrams and links to an agent that is published under an address of the fabric.
+    struct agent_path
+    {
+        fabric_agent agent;
+        std::unique_ptr<udp_socket> socket;
+        std::unique_ptr<link_relay> links;
+    };
+
     struct counters
     {
         std::uint64_t from_callers = 0;
@@ -71,6 +84,11 @@
         std::uint64_t without_entry = 0;
     };
 
+    void add_relay(const fabric_agent& agent);
+    void on_relayed_datagram(const agent_path& path, const std::uint8_t* data, std::size_t size,
+                             const core::endpoint& from);
+    [[nodiscard]] bool is_path_cut(const std::string& zone, std::uint32_t host, const fabric_agent& agent) const;
+    [[nodiscard]] core::milliseconds delay_between(const std::string& a, const std::string& b) const;
     void add_entry(const fabric_entry& entry);
     void on_caller_datagram(const core::endpoint& service, const std::uint8_t* data, std::size_t size,
                             const core::endpoint& caller);
@@ -84,6 +102,7 @@
     void on_control(evhttp_request* request);
     void apply(const http_call& call);
     void apply_cuts(const http_call& call);
+    void apply_host_cuts(const http_call& call);
     void forget(const std::string& which);
     [[nodiscard]] std::string stats() const;
 
@@ -95,6 +114,10 @@
     std::vector<std::unique_ptr<entry_path>> m_entries;
     std::set<core::endpoint> m_cut_addresses;
     std::set<std::string> m_cut_zones;
+    std::set<std::uint32_t> m_cut_hosts;
+    /// Pairs of host ids, the lower one first.
+    std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_links;
+    std::vector<std::unique_ptr<agent_path>> m_relays;
     std::set<core::endpoint> m_callers;
     std::set<core::endpoint> m_forgotten;
     counters m_counters;
--- a/tests/standins/fabric/main.cpp
+++ b/tests/standins/fabric/main.cpp
@@ -46,8 +46,9 @@
     }
     for (const auto& it : in.agents) {
         const auto fields = split(it, 3);
-        out.agents.push_back(
-            {static_cast<std::uint32_t>(std::stoul(fields[0])), fields[1], core::parse_endpoint(fields[2])});
+        out.agents.push_back({static_cast<std::uint32_t>(std::stoul(fields[0])), fields[1],
+                              core::parse_endpoint(fields[2]),
+                              fields.size() > 3 ? core::parse_endpoint(fields[3]) : core::endpoint{}});
     }
 }
 
@@ -59,13 +60,15 @@
     texts in;
     standins::fabric_options options;
     std::int64_t delay_ms = 0;
+    std::int64_t zone_delay_ms = 0;
     app.add_option("--return", in.return_path, "address of the return path, IP:PORT")->required();
     app.add_option("--control", in.control, "address for POST /control and GET /stats, IP:PORT")->required();
     app.add_option("--service", in.services, "service address, IP:PORT")->required();
     app.add_option("--entry", in.entries, "ZONE,IP:PORT of an entry");
-    app.add_option("--agent", in.agents, "HOST,ZONE,IP:PORT of an agent");
+    app.add_option("--agent", in.agents, "HOST,ZONE,IP:PORT[,PUBLISHED] of an agent; a published address is relayed");
     app.add_option("--seed", options.seed, "seed of the random choices");
     app.add_option("--caller-delay-ms", delay_ms, "one-way delay to and from callers");
+    app.add_option("--zone-delay-ms", zone_delay_ms, "one-way delay of relayed traffic between zones");
     app.add_option("--loss", options.loss, "probability that a datagram is lost");
     app.add_option("--duplicate", options.duplicate, "probability that a datagram is sent twice");
     app.add_option("--reorder", options.reorder, "probability that a datagram is held back up to 20 ms");
@@ -73,6 +76,7 @@
     try {
         read_addresses(in, options);
         options.caller_delay = core::milliseconds(delay_ms);
+        options.zone_delay = core::milliseconds(zone_delay_ms);
         standins::loop events;
         const standins::fabric server(events, options);
         std::cout << "ready" << std::endl;
