--- a/tests/standins/common/record.cpp
+++ b/tests/standins/common/record.cpp
@@ -175,9 +175,8 @@
     out << "demo: requests=" << result.requests << " answered=" << result.answered << " refused=" << result.refused
         << " lost=" << result.lost << " doubled=" << result.doubled << " broken_flows=" << result.broken_flows
         << " misrouted=" << result.misrouted << std::endl;
-    const auto faults = result.lost + result.doubled + result.broken_flows + result.misrouted +
-                        result.untrue_refusals + result.wrong_answers + result.feed_gaps + result.feed_repeats +
-                        result.stalled_feeds;
+    const auto faults = result.lost + result.doubled + result.broken_flows + result.misrouted + result.untrue_refusals +
+                        result.wrong_answers + result.feed_gaps + result.feed_repeats + result.stalled_feeds;
     return result.answered > 0 && faults == 0;
 }
 
--- a/tests/unit/unit-caller-client.cpp
+++ b/tests/unit/unit-caller-client.cpp
@@ -26,7 +26,7 @@
         any.port = 0;
         sockaddr_storage address{};
         socklen_t size = detail::to_sockaddr(any, address);
-        ::bind(m_fd, reinterpret_cast<sockaddr*>(&address), size);
+        EXPECT_EQ(::bind(m_fd, reinterpret_cast<sockaddr*>(&address), size), 0);
         ::getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
         m_address = detail::from_sockaddr(address);
     }
