Limit log events that remote processes cause; test ports that parallel runs share

A process that connects and sends garbage could write one log line for each connection; such events now go through one rate limit. The socket tests used fixed addresses, so ctest -j failed to bind; they use their own loopback range now.

--- a/include/daisydoor/runtime/detail/admin_task.hpp
+++ b/include/daisydoor/runtime/detail/admin_task.hpp
@@ -43,7 +43,7 @@
     core::time_point m_started_at;
     std::unique_ptr<evhtp, server_deleter> m_server;
     metrics m_metrics;
-    rate_limit m_reject_log{1'000'000'000};
+    rate_limit m_reject_log{log_period};
     std::map<std::string, port<collect_values>> m_tasks;
     port<collect_state> m_state;
 };
--- a/include/daisydoor/runtime/detail/entry_task.hpp
+++ b/include/daisydoor/runtime/detail/entry_task.hpp
@@ -19,7 +19,6 @@
 
   private:
     void on_datagram(const received_datagram& message);
-    void log_drop(core::time_point now, entry::drop_reason reason);
     void on_tick();
     void collect(collect_values& message) const;
 
@@ -28,7 +27,7 @@
     core::endpoint m_return_path;
     io_event m_timer;
     core::time_point m_last_tick;
-    rate_limit m_drop_log{1'000'000'000};
+    rate_limit m_drop_log{log_period};
     config::snapshot_ptr m_snapshot;
     config::fleet_view_ptr m_fleet;
     port<outgoing_datagram> m_udp;
--- a/include/daisydoor/runtime/detail/peer_link.hpp
+++ b/include/daisydoor/runtime/detail/peer_link.hpp
@@ -2,6 +2,7 @@
 
 #include "daisydoor/core/time.hpp"
 #include "daisydoor/runtime/detail/frame_reader.hpp"
+#include "daisydoor/runtime/events.hpp"
 
 #include <event2/bufferevent.h>
 #include <functional>
@@ -22,6 +23,8 @@
     std::uint64_t frames_received = 0;
     std::uint64_t frames_sent = 0;
     std::uint64_t bytes_sent = 0;
+    /// For events that any process which connects can cause.
+    rate_limit log{log_period};
 };
 
 class peer_link;
--- a/include/daisydoor/runtime/events.hpp
+++ b/include/daisydoor/runtime/events.hpp
@@ -104,4 +104,10 @@
     std::uint64_t m_suppressed = 0;
 };
 
+/// @brief Writes an event at most once a period of `limit`, with the number of occurrences since the last report.
+void write_limited_log(rate_limit& limit, log_event value, std::string_view details);
+
+/// Period for events that single datagrams, links or requests cause.
+constexpr rate_limit::nanoseconds log_period = 1'000'000'000;
+
 } // namespace daisydoor::runtime
--- a/src/runtime/admin_task.cpp
+++ b/src/runtime/admin_task.cpp
@@ -86,12 +86,9 @@
 
 void admin_task::reject(evhtp_request_t* request, int status, const char* path)
 {
-    std::uint64_t suppressed = 0;
-    if (m_reject_log.allow(core::clock::now().time_since_epoch().count(), suppressed)) {
-        write_log(log_event::admin_bad_request, "status " + std::to_string(status) + " for a path of " +
-                                                    std::to_string(std::strlen(path)) + " bytes, " +
-                                                    std::to_string(suppressed + 1) + " since the last report");
-    }
+    write_limited_log(m_reject_log, log_event::admin_bad_request,
+                      "status " + std::to_string(status) + " for a path of " + std::to_string(std::strlen(path)) +
+                          " bytes");
     send_reply(request, static_cast<evhtp_res>(status), "text/plain", "offered are GET /dump and GET /metrics\n");
 }
 
--- a/src/runtime/entry_task.cpp
+++ b/src/runtime/entry_task.cpp
@@ -55,7 +55,8 @@
     }
     auto verdict = m_core.on_datagram(now, message.data, message.size, message.age);
     if (verdict.kind == entry::verdict_kind::drop) {
-        log_drop(now, verdict.reason);
+        write_limited_log(m_drop_log, log_event::datagram_dropped,
+                          entry::drop_reason_names.at(static_cast<std::size_t>(verdict.reason)));
         return;
     }
     outgoing_datagram out;
@@ -69,16 +70,6 @@
     m_udp.call(out);
 }
 
-void entry_task::log_drop(core::time_point now, entry::drop_reason reason)
-{
-    std::uint64_t suppressed = 0;
-    if (m_drop_log.allow(now.time_since_epoch().count(), suppressed)) {
-        write_log(log_event::datagram_dropped,
-                  std::string(entry::drop_reason_names.at(static_cast<std::size_t>(reason))) + ", " +
-                      std::to_string(suppressed + 1) + " since the last report");
-    }
-}
-
 void entry_task::on_tick()
 {
     const auto now = core::clock::now();
--- a/src/runtime/events.cpp
+++ b/src/runtime/events.cpp
@@ -1,5 +1,6 @@
 #include "daisydoor/runtime/events.hpp"
 
+#include <chrono>
 #include <glog/logging.h>
 
 namespace daisydoor::runtime
@@ -30,4 +31,13 @@
     return true;
 }
 
+void write_limited_log(rate_limit& limit, log_event value, std::string_view details)
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    std::uint64_t suppressed = 0;
+    if (limit.allow(std::chrono::duration_cast<std::chrono::nanoseconds>(now).count(), suppressed)) {
+        write_log(value, std::string(details) + ", " + std::to_string(suppressed + 1) + " since the last report");
+    }
+}
+
 } // namespace daisydoor::runtime
--- a/src/runtime/link_task.cpp
+++ b/src/runtime/link_task.cpp
@@ -94,7 +94,7 @@
 void link_task::accept(int fd, const core::endpoint& remote)
 {
     if (m_links.size() >= max_links) {
-        write_log(log_event::link_refused, core::to_string(remote) + ", " + std::to_string(max_links) + " links open");
+        write_limited_log(m_counters.log, log_event::link_refused, core::to_string(remote));
         evutil_closesocket(fd);
         return;
     }
--- a/src/runtime/udp_task.cpp
+++ b/src/runtime/udp_task.cpp
@@ -161,13 +161,8 @@
             continue;
         }
         // A datagram that cannot be sent is dropped: the caller retransmits, and waiting would delay the others.
-        const int code = errno;
         ++m_counters.send_failed;
-        std::uint64_t suppressed = 0;
-        if (m_send_log.allow(read_clock(CLOCK_MONOTONIC), suppressed)) {
-            write_log(log_event::datagram_send_failed, std::string(std::strerror(code)) + ", " +
-                                                           std::to_string(suppressed + 1) + " since the last report");
-        }
+        write_limited_log(m_send_log, log_event::datagram_send_failed, std::strerror(errno));
         ++first;
     }
     m_queued = 0;
--- a/tests/unit/unit-runtime-admin.cpp
+++ b/tests/unit/unit-runtime-admin.cpp
@@ -2,6 +2,7 @@
 #include "daisydoor/runtime/detail/admin_task.hpp"
 #include "daisydoor/runtime/detail/http_client.hpp"
 #include "daisydoor/runtime/published_check.hpp"
+#include "support/loopback.hpp"
 
 #include <gtest/gtest.h>
 
@@ -10,14 +11,13 @@
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <unistd.h>
 
 namespace daisydoor::runtime::detail
 {
 namespace
 {
 
-constexpr const char* admin_address = "127.0.78.1:17601";
-
 class admin_test : public ::testing::Test
 {
   protected:
@@ -68,6 +68,8 @@
         return std::make_shared<const config::snapshot>(result);
     }
 
+    support::loopback_range range;
+    const std::string admin_address = range.address(2);
     kernel owner;
     double forwarded = 5;
     config::snapshot_ptr snapshot;
@@ -129,7 +131,9 @@
 class published_check_test : public ::testing::Test
 {
   protected:
-    published_check_test() : folder(std::filesystem::path(::testing::TempDir()) / "daisydoor-published-check")
+    published_check_test()
+        : folder(std::filesystem::path(::testing::TempDir()) /
+                 ("daisydoor-published-check-" + std::to_string(getpid())))
     {
         std::filesystem::create_directories(folder / "services");
     }
--- a/tests/unit/unit-runtime-http.cpp
+++ b/tests/unit/unit-runtime-http.cpp
@@ -174,6 +174,25 @@
     EXPECT_EQ(connections(), 1U);
 }
 
+// Guards against 'unknown' for requests on connections that the target has closed while they were idle.
+TEST_F(http_client_test, start_after_idle_close_new_connection)
+{
+    listen_with([](connection& it) {
+        reply(it, short_answer);
+        it.readable.remove();
+        shutdown(it.fd, SHUT_WR);
+    });
+    EXPECT_EQ(run().outcome, http_outcome::answered);
+    // Lets the client see the end of the idle connection, which arrives after the answer.
+    constexpr int rounds = 20;
+    for (int i = 0; i < rounds; ++i) {
+        event_base_loop(owner.base(), EVLOOP_NONBLOCK);
+        usleep(1000);
+    }
+    EXPECT_EQ(run().outcome, http_outcome::answered);
+    EXPECT_EQ(connections(), 2U);
+}
+
 // Guards against an exchange that never ends at a frozen target.
 TEST_F(http_client_test, start_no_answer_timed_out)
 {
--- a/tests/unit/unit-runtime-links.cpp
+++ b/tests/unit/unit-runtime-links.cpp
@@ -1,4 +1,5 @@
 #include "daisydoor/runtime/detail/link_task.hpp"
+#include "support/loopback.hpp"
 
 #include <gtest/gtest.h>
 
@@ -64,8 +65,9 @@
 class link_task_test : public ::testing::Test
 {
   protected:
-    static constexpr const char* address_a = "127.0.77.1:17501";
-    static constexpr const char* address_b = "127.0.77.2:17501";
+    support::loopback_range range;
+    const std::string address_a = range.address(2);
+    const std::string address_b = range.address(3);
 
     void SetUp() override
     {
