--- /dev/null
+++ b/bench/policy/system.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "policy/workload.hpp"
+
+namespace daisydoor::policy
+{
+
+/// @brief Runs the workload through entry and agent cores of one service, with delays between zones.
+result run_system(const deployment& where, const std::vector<arrival>& arrivals, std::uint32_t tenants,
+                  std::uint64_t seed);
+
+} // namespace daisydoor::policy
--- /dev/null
+++ b/scripts/mutation_check.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Shows that each deliberate fault in the decision cores is caught by at least one test.
+# Builds with DAISYDOOR_MUTATIONS, then runs the virtual-time tests once for each fault; exits 1 if one is not caught.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build-mutations}
+cmake -S . -B "$build" -G Ninja -DDAISYDOOR_MUTATIONS=ON >/dev/null
+cmake --build "$build" --target unit_tests >/dev/null
+mapfile -t faults < <(sed -n '/fault_names{/,/};/p' include/daisydoor/core/fault.hpp | grep -o '"[a-z_]*"' | tr -d '"' |
+    grep -v '^none$')
+
+run() {
+    DAISYDOOR_FAULT=$1 timeout 300 "$build/tests/unit_tests" --gtest_filter='-process_*' --gtest_brief=1 2>/dev/null |
+        sed -n 's/^\[  FAILED  \] \([A-Za-z0-9_./]*\).*/\1/p' | sort -u | head -3 | paste -sd' ' || true
+}
+export -f run
+export build
+
+# The unchanged code must pass, or a failure below proves nothing.
+if [ -n "$(run none)" ]; then
+    echo "tests fail without a fault: $(run none)"
+    exit 1
+fi
+printf '%s\n' "${faults[@]}" | xargs -P "$(($(nproc) / 2))" -I{} bash -c 'echo "{} $(run {})"' | sort |
+    awk '{ if (NF < 2) { print "NOT CAUGHT " $1; missed++ } else { name = $1; $1 = ""; print name ":" $0; caught++ } }
+         END { print caught + 0 " passed, " missed + 0 " failed"; exit missed > 0 }'
--- /dev/null
+++ b/tests/golden/unit-golden-sessions.cpp
@@ -0,0 +1,335 @@
+#include "support/golden.hpp"
+#include "support/session_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+/// @brief Whole sessions in virtual time: each brings one failure about, checks the oracle, and compares the
+/// transcript with its golden file.
+namespace daisydoor::support
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class golden_session : public ::testing::Test
+{
+  protected:
+    static constexpr std::size_t caller_count = 6;
+
+    static world_options options()
+    {
+        world_options result;
+        result.seed = 2026;
+        result.loss = 0.01;
+        result.duplication = 0.01;
+        return result;
+    }
+
+    session_world world{options()};
+
+    void SetUp() override
+    {
+        world.run_for(seconds{2});
+        for (std::size_t i = 0; i < caller_count; ++i) {
+            world.add_caller(i % 2, core::tenant_id{static_cast<std::uint32_t>(i % 3)});
+        }
+        world.run_for(seconds{1});
+        for (std::size_t i = 0; i < caller_count; i += 2) {
+            world.subscribe(i);
+        }
+        work();
+    }
+
+    /// One request and one posting of each caller.
+    void work()
+    {
+        for (std::size_t i = 0; i < caller_count; ++i) {
+            world.request(i, 2500);
+            world.post(i);
+        }
+    }
+
+    void work_for(seconds time)
+    {
+        for (int i = 0; i < time.count() * 2; ++i) {
+            work();
+            world.run_for(milliseconds{500});
+        }
+    }
+
+    std::size_t agent_of_caller(std::size_t caller) { return world.agent_of(caller).value(); }
+
+    /// Every request has one true outcome, and the transcript matches the golden file.
+    void finish(const std::string& name)
+    {
+        work_for(seconds{1});
+        world.run_for(seconds{8});
+        for (const auto& line : world.record().violations(true)) {
+            ADD_FAILURE() << line;
+        }
+        EXPECT_EQ(compare_with_golden(std::string(DAISYDOOR_SOURCE_DIR) + "/tests/golden", name, world.transcript()),
+                  "");
+    }
+
+    /// Every feed goes on to the present, and no caller was told that its flow is gone.
+    void expect_feeds_unbroken()
+    {
+        const auto newest = static_cast<std::uint64_t>(world_time() / fake_target::event_interval);
+        for (const auto& [caller, feed] : world.record().feeds()) {
+            EXPECT_GT(feed.received, 0U) << "caller " << caller;
+            EXPECT_GE(feed.last + 10, newest) << "caller " << caller;
+        }
+        for (std::size_t i = 0; i < world.callers(); ++i) {
+            EXPECT_EQ(world.caller_at(i).flow_gone, 0U) << "caller " << i;
+        }
+    }
+
+    [[nodiscard]] milliseconds world_time() const { return world.elapsed(); }
+
+    void expect_all_answered() { EXPECT_EQ(world.record().count(told::answered), world.record().requests().size()); }
+};
+
+// Guards against any loss, repeat or wrong refusal when nothing fails but the network.
+TEST_F(golden_session, network_lossy_all_answered)
+{
+    work_for(seconds{3});
+    finish("network_lossy");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against entries that keep state a flow depends on.
+TEST_F(golden_session, entry_killed_no_flow_breaks)
+{
+    world.kill_entry(0);
+    work_for(seconds{3});
+    finish("entry_killed");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a new entry that forwards without a configuration or breaks flows that it has not seen.
+TEST_F(golden_session, entry_joined_no_flow_breaks)
+{
+    world.kill_entry(1);
+    work_for(seconds{1});
+    world.start_entry(1);
+    work_for(seconds{3});
+    finish("entry_joined");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against an entry killed and joined twice in a row.
+TEST_F(golden_session, entry_killed_twice_no_flow_breaks)
+{
+    for (int i = 0; i < 2; ++i) {
+        world.kill_entry(0);
+        work_for(seconds{1});
+        world.start_entry(0);
+        work_for(seconds{1});
+    }
+    finish("entry_killed_twice");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a posting that runs again at another agent, or a refusal that claims it did not run.
+TEST_F(golden_session, agent_killed_outcomes_true)
+{
+    work();
+    world.run_for(milliseconds{15});
+    world.kill_agent(agent_of_caller(0));
+    work_for(seconds{4});
+    finish("agent_killed");
+}
+
+// Guards against the next incarnation on the same address accepting tokens or records of the earlier one.
+TEST_F(golden_session, agent_restarted_older_tokens_refused)
+{
+    const auto i = agent_of_caller(0);
+    work();
+    world.run_for(milliseconds{15});
+    world.kill_agent(i);
+    world.run_for(milliseconds{300});
+    world.start_agent(i);
+    work_for(seconds{4});
+    finish("agent_restarted");
+}
+
+// Guards against work refused as not run although the target had it when it died.
+TEST_F(golden_session, target_killed_outcomes_true)
+{
+    const auto i = agent_of_caller(0);
+    work();
+    world.run_for(milliseconds{15});
+    world.set_target(i, target_mode::down);
+    work_for(seconds{3});
+    world.set_target(i, target_mode::normal);
+    work_for(seconds{3});
+    finish("target_killed");
+}
+
+// Guards against a drain that cuts requests, breaks feeds or lets new work in after a few seconds.
+TEST_F(golden_session, target_drained_nothing_cut)
+{
+    const auto i = agent_of_caller(0);
+    work();
+    world.run_for(milliseconds{5});
+    world.drain_agent(i);
+    work_for(seconds{4});
+    const auto started = world.agent_at(i).target->started();
+    work_for(seconds{2});
+    EXPECT_EQ(world.agent_at(i).target->started(), started);
+    finish("target_drained");
+    EXPECT_TRUE(world.agent_at(i).drain_finished);
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a drain by configuration that reaches entries and agents at different times, twice in a row.
+TEST_F(golden_session, targets_drained_twice_nothing_cut)
+{
+    for (const std::size_t host : {0, 1}) {
+        world.publish([host](publication& it) { it.services[0].hosts[host].draining = true; });
+        work_for(seconds{4});
+    }
+    finish("targets_drained_twice");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a process that wakes up and acts on datagrams, deadlines or peers of before its pause.
+TEST_F(golden_session, processes_frozen_and_woken_outcomes_true)
+{
+    const auto i = agent_of_caller(0);
+    work();
+    world.run_for(milliseconds{10});
+    world.freeze(world.agent_at(i), seconds{3});
+    world.freeze(world.entry_at(0), seconds{2});
+    work_for(seconds{6});
+    finish("processes_frozen");
+}
+
+// Guards against a key rotation that reaches processes at different times and breaks flows.
+TEST_F(golden_session, keys_rotated_no_flow_breaks)
+{
+    world.publish([](publication& it) { it.keys = {make_key(1, 7, true), make_key(2, 8, false)}; });
+    work_for(seconds{3});
+    world.publish([](publication& it) { it.keys = {make_key(1, 7, false), make_key(2, 8, true)}; });
+    work_for(seconds{15});
+    world.publish([](publication& it) { it.keys = {make_key(2, 8, true)}; });
+    work_for(seconds{3});
+    finish("keys_rotated");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a drain, a key rotation and a preset change that fall together.
+TEST_F(golden_session, drain_and_rotation_and_preset_together_nothing_cut)
+{
+    world.publish([](publication& it) { it.keys = {make_key(1, 7, true), make_key(2, 8, false)}; });
+    work_for(seconds{3});
+    world.publish([](publication& it) {
+        it.keys = {make_key(1, 7, false), make_key(2, 8, true)};
+        it.services[0].hosts[1].draining = true;
+        it.services[0].preset = config::preset::peak;
+    });
+    work_for(seconds{5});
+    finish("drain_and_rotation");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a preset that is not in force at every agent, and postings that run in maintenance.
+TEST_F(golden_session, preset_maintenance_postings_not_run)
+{
+    world.publish([](publication& it) { it.services[0].preset = config::preset::maintenance; });
+    world.run_for(seconds{5});
+    const auto before = world.record().requests().size();
+    work();
+    world.run_for(seconds{3});
+    std::size_t refused = 0;
+    for (const auto& [key, entry] : world.record().requests()) {
+        refused += entry.posting && key.caller % 2 == 0 && entry.outcome == told::not_run ? 1 : 0;
+    }
+    EXPECT_GT(world.record().requests().size(), before);
+    EXPECT_EQ(refused, caller_count / 2);
+    finish("preset_maintenance");
+    expect_feeds_unbroken();
+}
+
+// Guards against a service that stops when the platform is away, and a process that starts then without configuration.
+TEST_F(golden_session, platform_down_goes_on)
+{
+    world.set_platform(platform_mode::down);
+    work_for(seconds{2});
+    world.kill_entry(0);
+    world.run_for(milliseconds{100});
+    world.start_entry(0);
+    work_for(seconds{3});
+    finish("platform_down");
+    expect_feeds_unbroken();
+    expect_all_answered();
+    EXPECT_EQ(core::raw(world.entry_at(0).entry->version()), world.published_version());
+}
+
+// Guards against a stale platform that turns the configuration back, also for a process that starts meanwhile.
+TEST_F(golden_session, platform_stale_never_reverts)
+{
+    world.publish([](publication& it) { it.services[0].preset = config::preset::peak; });
+    work_for(seconds{4});
+    world.set_platform(platform_mode::stale);
+    world.kill_entry(0);
+    world.run_for(milliseconds{100});
+    world.start_entry(0);
+    work_for(seconds{12});
+    finish("platform_stale");
+    for (const std::size_t i : {0, 1}) {
+        EXPECT_EQ(core::raw(world.entry_at(i).entry->version()), world.published_version());
+    }
+    expect_feeds_unbroken();
+}
+
+// Guards against `not_run` for work that the other side of a cut ran, and against flows that fail on the own side.
+TEST_F(golden_session, agent_cut_off_outcomes_true)
+{
+    const auto i = agent_of_caller(0);
+    work();
+    world.run_for(milliseconds{10});
+    world.cut(i, true);
+    work_for(seconds{4});
+    world.cut(i, false);
+    work_for(seconds{4});
+    finish("agent_cut_off");
+}
+
+// Guards against a connection that goes silent for good while new ones work, on either side.
+TEST_F(golden_session, connections_silent_feed_goes_on)
+{
+    world.silence_path(0);
+    world.set_target(agent_of_caller(2), target_mode::silent_feeds);
+    world.run_for(seconds{35});
+    finish("connections_silent");
+    expect_feeds_unbroken();
+}
+
+// Guards against two failures that each are survived alone: an agent dies while another drains.
+TEST_F(golden_session, agent_killed_while_other_drains_outcomes_true)
+{
+    const auto killed = agent_of_caller(0);
+    const auto draining = killed == 0 ? 1 : 0;
+    world.drain_agent(draining);
+    work();
+    world.run_for(milliseconds{30});
+    world.kill_agent(killed);
+    work_for(seconds{5});
+    finish("agent_killed_while_other_drains");
+}
+
+} // namespace
+} // namespace daisydoor::support
--- /dev/null
+++ b/tests/golden/unit-random-sessions.cpp
@@ -0,0 +1,198 @@
+#include "support/session_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+/// @brief Short sessions with random faults; a failure prints the seed that replays it.
+namespace daisydoor::support
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t sessions_per_shard = 1000;
+
+/// Lets random faults and work fall on a session for a while, then repairs everything and waits for all outcomes.
+class random_session
+{
+  public:
+    explicit random_session(std::uint64_t seed) : m_world(make_options(seed)) {}
+
+    std::vector<std::string> run()
+    {
+        m_world.run_for(seconds{1});
+        for (std::size_t i = 0; i < 4; ++i) {
+            m_world.add_caller(i % 2, core::tenant_id{static_cast<std::uint32_t>(i)});
+        }
+        m_world.run_for(milliseconds{500});
+        m_world.subscribe(0);
+        m_world.subscribe(1);
+        for (int i = 0; i < 24; ++i) {
+            work();
+            if (pick(3) == 0) {
+                fault();
+            }
+            m_world.run_for(milliseconds{pick(150) + 1});
+        }
+        repair();
+        m_world.run_for(seconds{10});
+        auto result = m_world.record().violations(true);
+        check_versions(result);
+        return result;
+    }
+
+    [[nodiscard]] const session_world& world() const noexcept { return m_world; }
+
+  private:
+    static world_options make_options(std::uint64_t seed)
+    {
+        world_options result;
+        result.seed = seed;
+        result.hosts = {3, 2};
+        result.slots = 2;
+        result.loss = seed % 4 * 0.01;
+        result.duplication = seed % 3 * 0.01;
+        result.max_delay = milliseconds{2 + static_cast<int>(seed % 20)};
+        return result;
+    }
+
+    std::size_t pick(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(m_world.random()); }
+
+    void work()
+    {
+        const auto caller = pick(m_world.callers());
+        const milliseconds deadline{200 + pick(1500)};
+        const auto number =
+            pick(2) == 0 ? m_world.post(caller, deadline) : m_world.request(caller, pick(3000), deadline);
+        if (pick(8) == 0) {
+            m_world.cancel(caller, number);
+        }
+    }
+
+    void fault()
+    {
+        const auto agent = pick(m_world.agents());
+        const auto entry = pick(2);
+        switch (pick(12)) {
+        case 0:
+            return kill_or_start_entry(entry);
+        case 1:
+        case 2:
+            return kill_or_start_agent(agent);
+        case 3:
+            return m_world.freeze(m_world.agent_at(agent), milliseconds{pick(3000)});
+        case 4:
+            return m_world.freeze(m_world.entry_at(entry), milliseconds{pick(3000)});
+        case 5:
+            return m_world.set_target(agent, static_cast<target_mode>(pick(5)));
+        case 6:
+            return cut_or_heal(agent);
+        case 7:
+            return m_world.set_platform(static_cast<platform_mode>(pick(3)));
+        case 8:
+            return m_world.publish([agent](publication& it) {
+                auto& host = it.services[agent < 3 ? 0 : 1].hosts[agent < 3 ? agent : agent - 3];
+                host.draining = !host.draining;
+            });
+        case 9:
+            return m_world.publish(
+                [this](publication& it) { it.services[pick(2)].preset = static_cast<config::preset>(pick(3)); });
+        case 10:
+            return m_world.silence_path(pick(m_world.callers()));
+        default:
+            if (m_world.agent_at(agent).alive) {
+                m_world.drain_agent(agent);
+            }
+        }
+    }
+
+    void kill_or_start_entry(std::size_t i)
+    {
+        m_world.entry_at(i).alive ? m_world.kill_entry(i) : m_world.start_entry(i);
+    }
+
+    void kill_or_start_agent(std::size_t i)
+    {
+        m_world.agent_at(i).alive ? m_world.kill_agent(i) : m_world.start_agent(i);
+    }
+
+    void cut_or_heal(std::size_t i)
+    {
+        m_is_cut[i] = !m_is_cut[i];
+        m_world.cut(i, m_is_cut[i]);
+    }
+
+    void repair()
+    {
+        m_world.set_platform(platform_mode::up);
+        for (std::size_t i = 0; i < 2; ++i) {
+            if (!m_world.entry_at(i).alive) {
+                m_world.start_entry(i);
+            }
+        }
+        for (std::size_t i = 0; i < m_world.agents(); ++i) {
+            if (m_is_cut[i]) {
+                cut_or_heal(i);
+            }
+            m_world.set_target(i, target_mode::normal);
+            if (!m_world.agent_at(i).alive) {
+                m_world.start_agent(i);
+            }
+        }
+    }
+
+    /// Every process has the highest published version in force within seconds.
+    void check_versions(std::vector<std::string>& result)
+    {
+        for (std::size_t i = 0; i < m_world.agents(); ++i) {
+            const auto& value = m_world.agent_at(i);
+            if (core::raw(value.agent->context().version()) != m_world.published_version()) {
+                result.push_back("agent " + std::to_string(i) + " does not act on the published version");
+            }
+        }
+        for (std::size_t i = 0; i < 2; ++i) {
+            if (core::raw(m_world.entry_at(i).entry->version()) != m_world.published_version()) {
+                result.push_back("entry " + std::to_string(i) + " does not act on the published version");
+            }
+        }
+    }
+
+    session_world m_world;
+    std::array<bool, 5> m_is_cut{};
+};
+
+class random_sessions : public ::testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against any order of faults that makes a refusal untrue, a posting run twice, a feed skip or a version revert.
+// DAISYDOOR_SEED replays one session and prints its transcript.
+TEST_P(random_sessions, faults_random_rules_hold)
+{
+    const char* replay = std::getenv("DAISYDOOR_SEED");
+    const std::uint64_t first = replay != nullptr ? std::stoull(replay) : GetParam() * sessions_per_shard;
+    const std::uint64_t n = replay != nullptr ? 1 : sessions_per_shard;
+    for (std::uint64_t seed = first; seed < first + n; ++seed) {
+        random_session session(seed);
+        const auto violations = session.run();
+        if (replay != nullptr) {
+            for (const auto& line : session.world().transcript()) {
+                std::puts(line.c_str());
+            }
+        }
+        for (const auto& line : violations) {
+            ADD_FAILURE() << "seed " << seed << ": " << line;
+        }
+        if (!violations.empty()) {
+            return;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(shards, random_sessions, ::testing::Range<std::uint64_t>(0, 10));
+
+} // namespace
+} // namespace daisydoor::support
--- /dev/null
+++ b/tests/support/fake_target.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "daisydoor/agent/actions.hpp"
+#include "daisydoor/core/random.hpp"
+#include "support/oracle.hpp"
+#include "support/virtual_clock.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace daisydoor::support
+{
+
+/// @brief How a fake target behaves.
+enum class target_mode
+{
+    normal,
+    /// Refuses connections.
+    down,
+    /// Answers 503 without running.
+    shedding,
+    /// Accepts and runs, but never answers; feeds stay silent.
+    frozen,
+    /// Existing feed connections go silent for good; new ones work.
+    silent_feeds,
+};
+
+/// @brief Path of a request: "/SERVICE/CALLER/NUMBER/SIZE"; a posting carries the same text as payload.
+std::string request_path(const std::string& service, request_key key, std::size_t size);
+
+/// @brief Answer that a target gives to `path`; callers compare it byte by byte.
+std::vector<std::uint8_t> expected_answer(const std::string& path);
+
+/// @brief Target of one agent in virtual time: runs exchanges with random service times and serves one feed.
+class fake_target
+{
+  public:
+    struct hooks
+    {
+        std::function<void(agent::exchange_id, agent::exchange_result)> result;
+        std::function<void(agent::feed_connection_id, core::event_id, std::vector<std::uint8_t>)> event;
+        std::function<void(agent::feed_connection_id)> activity;
+        std::function<void(agent::feed_connection_id)> feed_closed;
+    };
+
+    fake_target(virtual_clock& clock, oracle& record, std::string service, core::milliseconds mean_service_time,
+                std::uint64_t seed);
+
+    void set_hooks(hooks value) { m_hooks = std::move(value); }
+    void set_mode(target_mode mode);
+    /// @brief Stops the process: exchanges and feeds break.
+    void kill();
+    /// @brief The agent's process ended: its connections close, requests on them are cancelled after they ran.
+    void forget_agent();
+
+    void start(const agent::start_exchange& exchange);
+    void cancel(agent::exchange_id id) { m_running.erase(id); }
+    void open(const agent::open_feed& feed);
+    void close(agent::feed_connection_id id) { m_feeds.erase(id); }
+    /// @brief Sends the events that are due at the current virtual time.
+    void publish_events();
+
+    [[nodiscard]] std::size_t in_flight() const noexcept { return m_running.size(); }
+    [[nodiscard]] std::size_t started() const noexcept { return m_started; }
+
+    static constexpr core::milliseconds event_interval{200};
+    static constexpr core::milliseconds connect_delay{1};
+
+  private:
+    struct feed_connection
+    {
+        std::uint64_t last = 0;
+        bool silent = false;
+    };
+
+    [[nodiscard]] std::uint64_t current_event() const;
+    void finish(agent::exchange_id id, agent::exchange_result result, core::duration delay);
+    void run(const agent::start_exchange& exchange);
+
+    virtual_clock& m_clock;
+    oracle& m_record;
+    std::string m_service;
+    std::exponential_distribution<double> m_service_time_ms;
+    core::random_source m_random;
+    hooks m_hooks;
+    target_mode m_mode = target_mode::normal;
+    std::set<agent::exchange_id> m_running;
+    std::map<agent::feed_connection_id, feed_connection> m_feeds;
+    std::size_t m_started = 0;
+    /// Invalidates results that were scheduled before the target or its agent ended.
+    std::uint64_t m_run = 0;
+};
+
+} // namespace daisydoor::support
--- /dev/null
+++ b/tests/support/oracle.cpp
@@ -0,0 +1,63 @@
+#include "support/oracle.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::support
+{
+
+void oracle::told_outcome(request_key key, told outcome, bool answer_is_right)
+{
+    auto& entry = m_requests[key];
+    entry.outcome = outcome;
+    entry.wrong_answer = entry.wrong_answer || !answer_is_right;
+    ++entry.outcomes;
+}
+
+void oracle::subscribed(std::size_t caller, std::uint64_t last_event) { m_feeds[caller] = {true, last_event, 0, 0}; }
+
+void oracle::event(std::size_t caller, std::uint64_t id)
+{
+    auto& feed = m_feeds[caller];
+    if (feed.last != 0 && id != feed.last + 1) {
+        ++feed.gaps_or_repeats;
+    }
+    feed.last = id;
+    ++feed.received;
+}
+
+std::vector<std::string> oracle::violations(bool finished) const
+{
+    auto result = m_violations;
+    for (const auto& [key, entry] : m_requests) {
+        const std::string name = "caller " + std::to_string(key.caller) + " number " + std::to_string(key.number);
+        if (entry.posting && entry.executions > 1) {
+            result.push_back(name + ": posting ran " + std::to_string(entry.executions) + " times");
+        }
+        if (entry.outcome == told::not_run && entry.executions > 0) {
+            result.push_back(name + ": told not_run, but it ran");
+        }
+        if (entry.outcome == told::answered && entry.executions == 0) {
+            result.push_back(name + ": told answered, but it never ran");
+        }
+        if (entry.wrong_answer) {
+            result.push_back(name + ": wrong or incomplete answer");
+        }
+        if (entry.outcomes > 1 || (finished && entry.outcomes == 0)) {
+            result.push_back(name + ": " + std::to_string(entry.outcomes) + " outcomes");
+        }
+    }
+    for (const auto& [caller, feed] : m_feeds) {
+        if (feed.gaps_or_repeats > 0) {
+            result.push_back("caller " + std::to_string(caller) + ": feed with gaps or repeats");
+        }
+    }
+    return result;
+}
+
+std::size_t oracle::count(told outcome) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_requests.begin(), m_requests.end(), [outcome](const auto& item) { return item.second.outcome == outcome; }));
+}
+
+} // namespace daisydoor::support
--- /dev/null
+++ b/tests/support/oracle.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "daisydoor/caller/session.hpp"
+#include "daisydoor/core/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daisydoor::support
+{
+
+/// @brief Outcome that a caller was told.
+enum class told
+{
+    nothing,
+    answered,
+    not_run,
+    unknown,
+};
+
+/// @brief Names one request of one caller.
+struct request_key
+{
+    std::size_t caller = 0;
+    std::uint64_t number = 0;
+
+    bool operator<(const request_key& other) const noexcept
+    {
+        return caller != other.caller ? caller < other.caller : number < other.number;
+    }
+};
+
+struct request_entry
+{
+    bool posting = false;
+    told outcome = told::nothing;
+    unsigned outcomes = 0;
+    unsigned executions = 0;
+    bool wrong_answer = false;
+};
+
+struct feed_entry
+{
+    bool subscribed = false;
+    std::uint64_t last = 0;
+    std::uint64_t received = 0;
+    unsigned gaps_or_repeats = 0;
+};
+
+/// @brief Record of what callers were told and of what targets ran, kept apart from the system under test.
+class oracle
+{
+  public:
+    void started(request_key key, bool posting) { m_requests[key].posting = posting; }
+    void executed(request_key key) { ++m_requests[key].executions; }
+    void told_outcome(request_key key, told outcome, bool answer_is_right);
+    void subscribed(std::size_t caller, std::uint64_t last_event);
+    void event(std::size_t caller, std::uint64_t id);
+    void misrouted(const std::string& what) { m_violations.push_back(what); }
+
+    /// @brief Returns every broken rule, one line each; empty if all hold.
+    /// @param finished whether every request must have an outcome by now
+    [[nodiscard]] std::vector<std::string> violations(bool finished) const;
+    [[nodiscard]] const std::map<request_key, request_entry>& requests() const noexcept { return m_requests; }
+    [[nodiscard]] const std::map<std::size_t, feed_entry>& feeds() const noexcept { return m_feeds; }
+    [[nodiscard]] std::size_t count(told outcome) const;
+
+  private:
+    std::map<request_key, request_entry> m_requests;
+    std::map<std::size_t, feed_entry> m_feeds;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace daisydoor::support
