--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr const char* health_path = "/health";
+
 struct parsed_path
 {
     std::string service;
@@ -104,6 +106,11 @@
 
 void fake_target::run(const agent::start_exchange& exchange)
 {
+    if (exchange.path == health_path)
+    {
+        finish(exchange.id, {agent::exchange_status::answered, 200, {}}, connect_delay);
+        return;
+    }
     ++m_started;
     const auto parsed = parse_path(exchange.path);
     m_record.executed(parsed.key);
--- a/tests/support/session_world.cpp
+++ b/tests/support/session_world.cpp
@@ -205,7 +205,8 @@
         return;
     }
     const auto now = m_clock.now();
-    if (now.time_since_epoch() % sync_tick == core::duration{0}) {
+    if (now >= value.next_sync_tick) {
+        value.next_sync_tick = now + sync_tick;
         std::vector<config::sync_action> actions;
         value.sync->on_tick(now, actions);
         apply(value, actions);
--- a/tests/support/session_world.hpp
+++ b/tests/support/session_world.hpp
@@ -64,6 +64,7 @@
     std::size_t service = 0;
     std::unique_ptr<fake_target> target;
     bool drain_finished = false;
+    core::time_point next_sync_tick{};
     /// Counts restarts; events scheduled for an earlier run are dropped.
     unsigned run = 0;
 };
