--- a/tests/golden/unit-golden-sessions.cpp
+++ b/tests/golden/unit-golden-sessions.cpp
@@ -68,6 +68,10 @@
     {
         work_for(seconds{1});
         world.run_for(seconds{8});
+        for (const auto& [caller, feed] : world.record().feeds()) {
+            world.note("caller " + std::to_string(caller) + " has received " + std::to_string(feed.received) +
+                       " events up to " + std::to_string(feed.last));
+        }
         for (const auto& line : world.record().violations(true)) {
             ADD_FAILURE() << line;
         }
--- a/tests/golden/unit-random-sessions.cpp
+++ b/tests/golden/unit-random-sessions.cpp
@@ -41,6 +41,7 @@
         m_world.run_for(seconds{10});
         auto result = m_world.record().violations(true);
         check_versions(result);
+        check_feeds(result);
         return result;
     }
 
@@ -105,6 +106,7 @@
         default:
             if (m_world.agent_at(agent).alive) {
                 m_world.drain_agent(agent);
+                m_is_terminated[agent] = true;
             }
         }
     }
@@ -128,6 +130,14 @@
     void repair()
     {
         m_world.set_platform(platform_mode::up);
+        // A service whose hosts all drain has nowhere to move its feeds.
+        m_world.publish([](publication& it) {
+            for (auto& service : it.services) {
+                for (auto& host : service.hosts) {
+                    host.draining = false;
+                }
+            }
+        });
         for (std::size_t i = 0; i < 2; ++i) {
             if (!m_world.entry_at(i).alive) {
                 m_world.start_entry(i);
@@ -138,6 +148,9 @@
                 cut_or_heal(i);
             }
             m_world.set_target(i, target_mode::normal);
+            if (m_is_terminated[i] && m_world.agent_at(i).alive) {
+                m_world.kill_agent(i);
+            }
             if (!m_world.agent_at(i).alive) {
                 m_world.start_agent(i);
             }
@@ -160,8 +173,34 @@
         }
     }
 
+    /// Every feed reaches the present again once the faults are over.
+    void check_feeds(std::vector<std::string>& result)
+    {
+        // Keepalives find a silent path within 10 s; the reopening follows with its own retries.
+        for (int i = 0; i < 3 && !late_feeds().empty(); ++i) {
+            m_world.run_for(seconds{10});
+        }
+        for (const auto caller : late_feeds()) {
+            result.push_back("the feed of caller " + std::to_string(caller) + " has stopped");
+        }
+    }
+
+    std::vector<std::size_t> late_feeds()
+    {
+        std::vector<std::size_t> result;
+        const auto newest = static_cast<std::uint64_t>(m_world.elapsed() / fake_target::event_interval);
+        for (const auto& [caller, feed] : m_world.record().feeds()) {
+            if (feed.last + 10 < newest) {
+                result.push_back(caller);
+            }
+        }
+        return result;
+    }
+
     session_world m_world;
     std::array<bool, 5> m_is_cut{};
+    /// Agents that got SIGTERM; their process does not take part again.
+    std::array<bool, 5> m_is_terminated{};
 };
 
 class random_sessions : public ::testing::TestWithParam<std::uint64_t>
--- a/tests/support/fake_target.cpp
+++ b/tests/support/fake_target.cpp
@@ -106,14 +106,16 @@
 
 void fake_target::run(const agent::start_exchange& exchange)
 {
-    if (exchange.path == health_path)
-    {
+    if (exchange.path == health_path) {
         finish(exchange.id, {agent::exchange_status::answered, 200, {}}, connect_delay);
         return;
     }
     ++m_started;
     const auto parsed = parse_path(exchange.path);
     m_record.executed(parsed.key);
+    if (exchange.kind == wire::request_kind::non_idempotent) {
+        m_hooks.posting_started(parsed.key);
+    }
     if (parsed.service != m_service) {
         m_record.misrouted("request " + exchange.path + " ran at a target of " + m_service);
     }
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -43,6 +43,8 @@
         std::function<void(agent::feed_connection_id, core::event_id, std::vector<std::uint8_t>)> event;
         std::function<void(agent::feed_connection_id)> activity;
         std::function<void(agent::feed_connection_id)> feed_closed;
+        /// A posting starts to run.
+        std::function<void(request_key)> posting_started;
     };
 
     fake_target(virtual_clock& clock, oracle& record, std::string service, core::milliseconds mean_service_time,
--- a/tests/support/golden.cpp
+++ b/tests/support/golden.cpp
@@ -10,25 +10,20 @@
                                 const std::vector<std::string>& transcript)
 {
     const std::string path = folder + "/" + name + ".txt";
-    if (std::getenv("DAISYDOOR_UPDATE_GOLDEN") != nullptr)
-    {
+    if (std::getenv("DAISYDOOR_UPDATE_GOLDEN") != nullptr) {
         std::ofstream out(path);
-        for (const auto& line : transcript)
-        {
+        for (const auto& line : transcript) {
             out << line << '\n';
         }
         return out ? "" : "cannot write " + path;
     }
     std::ifstream in(path);
-    if (!in)
-    {
+    if (!in) {
         return "no golden file " + path + "; scripts/update_golden.sh writes it";
     }
     std::string expected;
-    for (std::size_t i = 0; i < transcript.size(); ++i)
-    {
-        if (!std::getline(in, expected) || expected != transcript[i])
-        {
+    for (std::size_t i = 0; i < transcript.size(); ++i) {
+        if (!std::getline(in, expected) || expected != transcript[i]) {
             return path + " line " + std::to_string(i + 1) + ": expected '" + expected + "', got '" + transcript[i] +
                    "'";
         }
--- a/tests/support/session_world.cpp
+++ b/tests/support/session_world.cpp
@@ -185,6 +185,10 @@
             core.on_feed_closed(m_clock.now(), id, actions);
         });
     };
+    hooks.posting_started = [this, host = value.host](request_key key) {
+        note("target " + std::to_string(core::raw(host)) + " runs the posting of caller " + std::to_string(key.caller) +
+             " number " + std::to_string(key.number));
+    };
     value.target->set_hooks(std::move(hooks));
 }
 
--- a/tests/support/session_world_messages.cpp
+++ b/tests/support/session_world_messages.cpp
@@ -282,8 +282,7 @@
 
 void session_world::link_all(process& value, bool up)
 {
-    if (up && !value.alive)
-    {
+    if (up && !value.alive) {
         return;
     }
     for (const auto& other : m_agents) {
