--- a/include/daisydoor/caller/detail/feed_receiver.hpp
+++ b/include/daisydoor/caller/detail/feed_receiver.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daisydoor/caller/detail/flow_link.hpp"
+#include "daisydoor/caller/detail/segment_assembly.hpp"
 
 #include <map>
 #include <string>
@@ -36,7 +37,7 @@
     struct held_event
     {
         std::uint64_t previous = 0;
-        std::vector<std::uint8_t> data;
+        segment_assembly data;
     };
 
     [[nodiscard]] bool is_next(std::uint64_t previous) const noexcept;
@@ -47,7 +48,7 @@
     core::event_id m_last{};
     bool m_confirmed = false;
     retransmit_timer m_subscribe_timer;
-    /// Events behind a gap, by id.
+    /// Events behind a gap and events with missing segments, by id.
     std::map<std::uint64_t, held_event> m_held;
     bool m_gap = false;
     core::time_point m_gap_since{};
--- a/include/daisydoor/caller/detail/path_monitor.hpp
+++ b/include/daisydoor/caller/detail/path_monitor.hpp
@@ -29,6 +29,8 @@
     /// A third of the 30 s after which middleboxes commonly forget UDP flows.
     static constexpr core::milliseconds default_interval{10000};
     static constexpr core::milliseconds miss_timeout{500};
+    /// A request that waits long for its answer suggests a silent path again and again.
+    static constexpr core::milliseconds probe_gap{1000};
     /// One lost packet must not cause a resume.
     static constexpr unsigned miss_limit = 3;
 
--- a/include/daisydoor/caller/detail/request_tracker.hpp
+++ b/include/daisydoor/caller/detail/request_tracker.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "daisydoor/caller/detail/answer_assembly.hpp"
 #include "daisydoor/caller/detail/flow_link.hpp"
 #include "daisydoor/caller/detail/retry_budget.hpp"
+#include "daisydoor/caller/detail/segment_assembly.hpp"
 
 #include <map>
 
@@ -48,7 +48,10 @@
         bool cancelling = false;
         unsigned sends = 0;
         retransmit_timer timer;
-        answer_assembly assembly;
+        segment_assembly assembly;
+        /// Announced by the first segment.
+        std::uint16_t status = 0;
+        std::uint32_t total_size = 0;
     };
     using request_map = std::map<core::request_number, tracked_request>;
 
--- a/include/daisydoor/caller/detail/retry_budget.hpp
+++ b/include/daisydoor/caller/detail/retry_budget.hpp
@@ -28,6 +28,9 @@
   private:
     void refill(core::time_point now) noexcept
     {
+        if (m_refilled == core::time_point{}) {
+            m_refilled = now;
+        }
         if (now - m_refilled >= refill_interval && m_credit < minimum) {
             m_credit = std::min(m_credit + 1.0, minimum);
             m_refilled = now;
--- a/src/agent/feed_hub.cpp
+++ b/src/agent/feed_hub.cpp
@@ -138,12 +138,20 @@
 
 void feed_hub::send_event(core::flow_id flow, const subscriber& sub, const stored_event& event, action_list& actions)
 {
-    wire::eventT body;
     const bool first = event.previous <= sub.start();
-    body.previous = core::raw(first ? sub.acknowledged : event.previous);
-    body.id = core::raw(event.id);
-    body.data = event.data;
-    send_to_flow(m_context, *m_table.find(flow), std::move(body), actions);
+    const auto count =
+        std::max<std::size_t>((event.data.size() + wire::max_segment_payload - 1) / wire::max_segment_payload, 1);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto begin = static_cast<std::ptrdiff_t>(i * wire::max_segment_payload);
+        const auto end = static_cast<std::ptrdiff_t>(std::min(event.data.size(), (i + 1) * wire::max_segment_payload));
+        wire::eventT body;
+        body.previous = core::raw(first ? sub.acknowledged : event.previous);
+        body.id = core::raw(event.id);
+        body.data.assign(event.data.begin() + begin, event.data.begin() + end);
+        body.segment = static_cast<std::uint16_t>(i);
+        body.segment_count = static_cast<std::uint16_t>(count);
+        send_to_flow(m_context, *m_table.find(flow), std::move(body), actions);
+    }
     ++m_events_sent;
 }
 
--- a/src/agent/flow_mover.cpp
+++ b/src/agent/flow_mover.cpp
@@ -22,6 +22,9 @@
 constexpr double surplus_ratio = 1.03;
 /// Callers send a keepalive every 10 s; a flow without a datagram for longer could not be told to move.
 constexpr core::milliseconds recently_seen{15000};
+/// A caller with open numbers on the old flow repeats them at least once a second and closes the flow after the last
+/// one; after this silence its close is taken for lost.
+constexpr core::milliseconds confirmed_silence{5000};
 /// Unused credit for moves does not add up to a burst.
 constexpr double max_credit_s = 0.1;
 
@@ -156,7 +159,9 @@
 {
     std::vector<core::flow_id> left;
     for (auto it = m_leaving.begin(); it != m_leaving.end();) {
-        if (it->second.at == stage::confirmed && !m_requests.has_records(it->first)) {
+        const bool is_silent =
+            now - std::max(it->second.since, m_table.find(it->first)->last_seen) >= confirmed_silence;
+        if (it->second.at == stage::confirmed && is_silent && !m_requests.has_records(it->first)) {
             left.push_back(it->first);
         }
         it = tick_leaving(now, it->first, it->second, actions) ? std::next(it) : erase(it);
--- a/src/caller/feed_receiver.cpp
+++ b/src/caller/feed_receiver.cpp
@@ -2,6 +2,8 @@
 
 #include "daisydoor/core/fault.hpp"
 
+#include <algorithm>
+
 namespace daisydoor::caller::detail
 {
 
@@ -19,6 +21,7 @@
 {
     m_path = std::move(path);
     m_last = last_event;
+    m_acknowledge_on.clear();
     restart(now);
 }
 
@@ -56,10 +59,10 @@
     while (!m_held.empty()) {
         const auto it = m_held.begin();
         if (it->first > core::raw(m_last)) {
-            if (!is_next(it->second.previous)) {
+            if (!is_next(it->second.previous) || !it->second.data.is_complete()) {
                 return;
             }
-            deliver(it->first, std::move(it->second.data), actions);
+            deliver(it->first, it->second.data.take(), actions);
         }
         m_held.erase(it);
     }
@@ -78,18 +81,24 @@
         }
         return;
     }
-    if (is_next(body.previous)) {
-        deliver(body.id, body.data, actions);
-        deliver_held(actions);
-        m_gap = !m_held.empty();
-        m_gap_since = now;
-        m_gap_timer.start(now);
-        return;
+    if (m_held.size() >= max_held_events && m_held.count(body.id) == 0) {
+        // The next event is always taken, or a full store would block it for good.
+        if (!is_next(body.previous)) {
+            return;
+        }
+        m_held.erase(std::prev(m_held.end()));
     }
-    if (m_held.size() < max_held_events) {
-        m_held[body.id] = {body.previous, body.data};
+    const auto last = m_last;
+    auto& held = m_held[body.id];
+    // Segments carry the same data from every flow, but the previous id depends on the flow's position.
+    if (is_next(body.previous) || body.previous > held.previous) {
+        held.previous = body.previous;
     }
-    if (!m_gap) {
+    held.data.add(body.segment, std::max<std::size_t>(body.segment_count, 1), body.data);
+    deliver_held(actions);
+    if (m_held.empty()) {
+        m_gap = false;
+    } else if (!m_gap || m_last != last) {
         m_gap = true;
         m_gap_since = now;
         m_gap_timer.start(now);
--- a/src/caller/path_monitor.cpp
+++ b/src/caller/path_monitor.cpp
@@ -23,7 +23,7 @@
 void path_monitor::probe(core::time_point now) noexcept
 {
     if (!m_awaiting) {
-        m_next = std::min(m_next, now);
+        m_next = std::min(m_next, std::max(now, m_sent + probe_gap));
     }
 }
 
--- a/src/caller/request_tracker.cpp
+++ b/src/caller/request_tracker.cpp
@@ -111,9 +111,14 @@
     }
     auto& request = it->second;
     const bool first = !request.assembly.is_started();
-    if (!request.assembly.add(body)) {
+    if (!first && (body.status != request.status || body.total_size != request.total_size)) {
         return;
     }
+    if (!request.assembly.add(body.segment, body.segment_count, body.payload)) {
+        return;
+    }
+    request.status = body.status;
+    request.total_size = body.total_size;
     if (!request.assembly.is_complete()) {
         // The segments of one answer arrive together; after a pause the missing ones are fetched.
         if (first) {
@@ -121,8 +126,8 @@
         }
         return;
     }
-    answered outcome{it->first, request.assembly.status(), {}};
-    if (request.assembly.take(outcome.payload)) {
+    answered outcome{it->first, request.status, request.assembly.take()};
+    if (outcome.payload.size() == request.total_size) {
         detach(request);
         actions.push_back(std::move(outcome));
         m_requests.erase(it);
