--- a/include/daisydoor/caller/detail/feed_receiver.hpp
+++ b/include/daisydoor/caller/detail/feed_receiver.hpp
@@ -24,8 +24,8 @@
         m_confirmed = false;
         m_subscribe_timer.start(now);
     }
-    /// @brief The flow has confirmed the subscription.
-    void on_subscribed() noexcept { m_confirmed = true; }
+    /// @brief The flow has confirmed the subscription, which starts after `position` if it had none.
+    void on_subscribed(core::event_id position, session_actions& actions);
     void send_subscribe(const wire::flow_token& token, session_actions& actions) const;
     void on_event(core::time_point now, const flow_link& link, const wire::eventT& body, session_actions& actions);
     /// @brief Acknowledges what arrived, repeats the subscription, and asks again after a gap.
--- a/include/daisydoor/caller/detail/session_state.hpp
+++ b/include/daisydoor/caller/detail/session_state.hpp
@@ -44,7 +44,8 @@
     void on_open_answer(core::time_point now, const wire::packet_bodyUnion& body, session_actions& actions);
     void on_flow_packet(core::time_point now, flow_link& link, const wire::packet_bodyUnion& body,
                         session_actions& actions);
-    void on_keepalive_ack(core::time_point now, flow_link& link, const wire::keepalive_ackT& body);
+    void on_keepalive_ack(core::time_point now, flow_link& link, const wire::keepalive_ackT& body,
+                          session_actions& actions);
     void on_move(core::time_point now, flow_link& link, const wire::moveT& body, session_actions& actions);
     void on_flow_gone(core::time_point now, flow_link& link, session_actions& actions);
     void adopt_candidate(core::time_point now, session_actions& actions);
--- a/src/agent/feed_hub.cpp
+++ b/src/agent/feed_hub.cpp
@@ -76,7 +76,7 @@
     auto& value = m_feeds.at(sub.key);
     value.subscribers.insert(flow);
     if (starts_anywhere) {
-        sub.base = value.buffer.last();
+        sub.acknowledged = sub.base = value.buffer.last();
     }
     sub.sent = sub.start();
     sub.attached_at = now;
--- a/src/agent/flows.cpp
+++ b/src/agent/flows.cpp
@@ -73,7 +73,8 @@
                      action_list& actions);
     [[nodiscard]] bool is_own(const wire::flow_token& token) const;
     void remove(core::flow_id flow, action_list& actions);
-    void acknowledge_sequence(core::time_point now, core::flow_id flow, std::uint32_t sequence, action_list& actions);
+    void acknowledge_sequence(core::time_point now, core::flow_id flow, std::uint32_t sequence, core::event_id position,
+                              action_list& actions);
     void sweep(core::time_point now, action_list& actions);
 };
 
@@ -179,7 +180,7 @@
 }
 
 void flows::impl::acknowledge_sequence(core::time_point now, core::flow_id flow, std::uint32_t sequence,
-                                       action_list& actions)
+                                       core::event_id position, action_list& actions)
 {
     auto* entry = table.find(flow);
     if (entry == nullptr) {
@@ -189,6 +190,7 @@
     wire::keepalive_ackT ack;
     ack.sequence = sequence;
     ack.token = std::make_unique<wire::flow_token>(entry->token);
+    ack.position = core::raw(position);
     detail::send_to_flow(context, *entry, std::move(ack), actions);
 }
 
@@ -281,13 +283,15 @@
     if (const auto* keepalive = body.Askeepalive()) {
         self.requests.acknowledge(from.flow, core::request_number{keepalive->acknowledged});
         self.feeds.acknowledge(now, from.flow, core::event_id{keepalive->last_event}, actions);
-        self.acknowledge_sequence(now, from.flow, keepalive->sequence, actions);
+        self.acknowledge_sequence(now, from.flow, keepalive->sequence, {}, actions);
     } else if (const auto* subscribe = body.Assubscribe()) {
         if (!self.mover.has_left(from.flow)) {
             self.feeds.subscribe(now, from.flow, subscribe->path, core::event_id{subscribe->last_event}, actions);
         }
         self.feeds.on_caller_seen(now, from.flow, actions);
-        self.acknowledge_sequence(now, from.flow, wire::subscribed_sequence, actions);
+        const auto position = self.feeds.position_of(from.flow);
+        self.acknowledge_sequence(now, from.flow, wire::subscribed_sequence,
+                                  position ? position->last_event : core::event_id{}, actions);
     } else if (const auto* ack = body.Asfeed_ack()) {
         self.feeds.acknowledge(now, from.flow, core::event_id{ack->last_event}, actions);
     } else if (body.Asmove_confirm() != nullptr) {
--- a/src/caller/feed_receiver.cpp
+++ b/src/caller/feed_receiver.cpp
@@ -32,6 +32,15 @@
     resubscribe(now);
 }
 
+void feed_receiver::on_subscribed(core::event_id position, session_actions& actions)
+{
+    m_confirmed = true;
+    if (m_last == core::event_id{0}) {
+        m_last = position;
+        deliver_held(actions);
+    }
+}
+
 void feed_receiver::send_subscribe(const wire::flow_token& token, session_actions& actions) const
 {
     wire::subscribeT body;
@@ -42,8 +51,8 @@
 
 bool feed_receiver::is_next(std::uint64_t previous) const noexcept
 {
-    // Previous 0 marks the first event of a subscription without a position. Any other event claims that none lies
-    // between its previous one and itself, so that a previous one before the position leaves no gap.
+    // Previous 0 marks the first event that the target has ever sent to the agent. Any other event claims that none
+    // lies between its previous one and itself, so that a previous one before the position leaves no gap.
     const auto last = core::raw(m_last);
     return previous == last || (previous != 0 && previous < last) || core::is_active(core::fault::skip_gap_check);
 }
--- a/src/caller/session_state.cpp
+++ b/src/caller/session_state.cpp
@@ -144,13 +144,14 @@
     } else if (const auto* event = body.Asevent()) {
         m_feed.on_event(now, link, *event, actions);
     } else if (const auto* ack = body.Askeepalive_ack()) {
-        on_keepalive_ack(now, link, *ack);
+        on_keepalive_ack(now, link, *ack, actions);
     } else if (const auto* move = body.Asmove()) {
         on_move(now, link, *move, actions);
     }
 }
 
-void session_state::on_keepalive_ack(core::time_point now, flow_link& link, const wire::keepalive_ackT& body)
+void session_state::on_keepalive_ack(core::time_point now, flow_link& link, const wire::keepalive_ackT& body,
+                                     session_actions& actions)
 {
     if (body.token && names_same_flow(*body.token, link.token) && body.token->issued_s() >= link.token.issued_s()) {
         link.token = *body.token;
@@ -161,7 +162,7 @@
         m_token = link.token;
         m_path.on_ack(now, body.sequence);
         if (body.sequence == wire::subscribed_sequence) {
-            m_feed.on_subscribed();
+            m_feed.on_subscribed(core::event_id{body.position}, actions);
         }
     }
 }
