Request work ahead of the next free slot

Cause: an agent asked a peer for work only with a free slot, so that each slot stayed idle for a round trip; between requests to the same peer it waited 20 ms even if the work had arrived.

Change: the reported queue is counted down by what was asked for, work that is under way counts against free slots, and up to two requests are fetched ahead from queues of at least two.

--- a/include/daisydoor/agent/detail/peer_credit.hpp
+++ b/include/daisydoor/agent/detail/peer_credit.hpp
@@ -7,6 +7,16 @@
 namespace daisydoor::agent::detail
 {
 
+/// Time after which work that was asked for is no longer expected; above the round trip between zones.
+constexpr core::milliseconds work_request_timeout{20};
+
+/// @brief Peer to ask for work, and how much of it.
+struct work_source
+{
+    core::host_id host{};
+    std::uint32_t count = 0;
+};
+
 /// @brief Tracks how much work each peer is ready to take, and chooses the peer for a hand-over.
 ///
 /// Free slots in a report are a standing request for work; each hand-over uses one up until the next report.
@@ -27,13 +37,23 @@
     [[nodiscard]] const peer_status* choose_any(core::time_point now, const work_record& record) const;
     /// @brief Whether some peer has free slots that this agent may use.
     [[nodiscard]] bool has_free_peer(core::time_point now, std::size_t queued) const;
-    /// @brief The peer with the longest reported queue that was not asked for work recently; marks it as asked.
-    const peer_status* take_busy_peer(core::time_point now);
+    /// @brief Chooses the peer to ask for work, by reported queues less what was asked for since, and notes the
+    /// request.
+    /// @param wanted number of requests that this agent could take in
+    /// @param least_queue peers with a shorter queue are not asked
+    [[nodiscard]] std::optional<work_source> take_source(core::time_point now, std::size_t wanted,
+                                                         std::uint32_t least_queue);
+    /// @brief Work arrived that was asked for.
+    void on_work_received(core::host_id host);
 
   private:
     struct entry
     {
         std::uint32_t credit = 0;
+        /// Queue in the last report, less the work asked for since.
+        std::uint32_t expected_queue = 0;
+        /// Work asked for that has not arrived.
+        std::uint32_t pending = 0;
         core::time_point asked_at{};
     };
 
--- a/include/daisydoor/agent/detail/work_impl.hpp
+++ b/include/daisydoor/agent/detail/work_impl.hpp
@@ -24,6 +24,10 @@
 /// can still arrive.
 constexpr core::milliseconds cancel_grace{100};
 constexpr core::milliseconds probe_interval{1000};
+/// Requests of peers that wait here for the next free slot, so that it does not stay idle for a round trip.
+constexpr std::size_t work_lookahead = 2;
+/// A shorter queue than this empties at its own agent before a hand-over pays off.
+constexpr std::uint32_t lookahead_least_queue = 2;
 /// A timeout below this says more about the caller's deadline than about the target's health.
 constexpr core::milliseconds shortest_telling_timeout{100};
 /// Largest answer that fits into a frame between agents.
--- a/src/agent/peer_credit.cpp
+++ b/src/agent/peer_credit.cpp
@@ -17,7 +17,9 @@
 
 void peer_credit::on_report(core::host_id host, const wire::load_reportT& report)
 {
-    m_peers[host].credit = takes_work_in(report.state) ? report.free_slots : 0;
+    auto& peer = m_peers[host];
+    peer.credit = takes_work_in(report.state) ? report.free_slots : 0;
+    peer.expected_queue = report.queued;
 }
 
 void peer_credit::on_work_request(core::host_id host, std::uint32_t count)
@@ -91,26 +93,42 @@
     });
 }
 
-const peer_status* peer_credit::take_busy_peer(core::time_point now)
+std::optional<work_source> peer_credit::take_source(core::time_point now, std::size_t wanted, std::uint32_t least_queue)
 {
-    const peer_status* best = nullptr;
-    for (const auto& [host, peer] : m_context.peers) {
-        const bool near = peer.zone == m_context.options.zone;
-        const auto it = m_peers.find(host);
-        const bool asked = it != m_peers.end() && it->second.asked_at != core::time_point{} &&
-                           now - it->second.asked_at < report_min_gap;
-        if (peer.report.queued == 0 || asked || !m_context.is_peer_alive(peer, now) ||
-            (!near && !may_cross_zones(peer.report.queued))) {
+    std::size_t pending = 0;
+    entry* best = nullptr;
+    work_source result;
+    for (auto& [host, entry] : m_peers) {
+        if (now - entry.asked_at >= work_request_timeout) {
+            entry.pending = 0;
+        }
+        pending += entry.pending;
+        const auto it = m_context.peers.find(host);
+        if (entry.expected_queue < std::max<std::uint32_t>(least_queue, 1) || it == m_context.peers.end() ||
+            !m_context.is_peer_alive(it->second, now)) {
             continue;
         }
-        if (best == nullptr || peer.report.queued > best->report.queued) {
-            best = &peer;
+        const bool near = it->second.zone == m_context.options.zone;
+        if ((near || may_cross_zones(entry.expected_queue)) &&
+            (best == nullptr || entry.expected_queue > best->expected_queue)) {
+            best = &entry;
+            result.host = host;
         }
     }
-    if (best != nullptr) {
-        m_peers[best->host].asked_at = now;
+    if (best == nullptr || wanted <= pending) {
+        return std::nullopt;
     }
-    return best;
+    result.count = std::min(static_cast<std::uint32_t>(wanted - pending), best->expected_queue);
+    best->expected_queue -= result.count;
+    best->pending += result.count;
+    best->asked_at = now;
+    return result;
+}
+
+void peer_credit::on_work_received(core::host_id host)
+{
+    auto& peer = m_peers[host];
+    peer.pending -= peer.pending > 0 ? 1 : 0;
 }
 
 } // namespace daisydoor::agent::detail
--- a/src/agent/work_executor.cpp
+++ b/src/agent/work_executor.cpp
@@ -94,6 +94,7 @@
         }
         return;
     }
+    credit.on_work_received(host);
     const refusal_reason reason = reason_to_reject(now, host, body);
     if (reason != refusal_reason::none) {
         reject(host, key, reason, actions);
--- a/src/agent/work_home.cpp
+++ b/src/agent/work_home.cpp
@@ -71,16 +71,19 @@
 void work::impl::request_work(core::time_point now, action_list& actions)
 {
     const bool takes_work = ctx.own.state == wire::agent_state::active || ctx.own.state == wire::agent_state::cold;
-    if (!takes_work || free_slots() == 0 || !queue.empty()) {
+    if (!takes_work || queue.size() >= detail::work_lookahead) {
         return;
     }
-    const auto* peer = credit.take_busy_peer(now);
-    if (peer == nullptr) {
+    // With all slots busy, work is fetched ahead only from queues that are longer than the wait it saves.
+    const bool idle = free_slots() > 0;
+    const std::size_t wanted = free_slots() + detail::work_lookahead - queue.size();
+    const auto source = credit.take_source(now, wanted, idle ? 1 : detail::lookahead_least_queue);
+    if (!source) {
         return;
     }
     wire::work_requestT body;
-    body.count = static_cast<std::uint32_t>(free_slots());
-    ctx.send_to_peer(peer->host, wire::make_peer_message(ctx.version(), body), actions);
+    body.count = source->count;
+    ctx.send_to_peer(source->host, wire::make_peer_message(ctx.version(), body), actions);
 }
 
 void work::impl::query(const work_record& record, action_list& actions) const
--- a/tests/unit/unit-agent-handover.cpp
+++ b/tests/unit/unit-agent-handover.cpp
@@ -107,20 +107,35 @@
 // Guards against an idle agent that leaves work waiting at a busy peer, and against floods of requests for work.
 TEST_F(handover_test, report_queued_work_requested_with_pause)
 {
-    const auto requests = [this] {
-        std::size_t n = 0;
+    const auto requested = [this] {
+        std::uint32_t n = 0;
         for (const auto& item : agent.sent()) {
-            n += item.message.body.Aswork_request() != nullptr ? 1 : 0;
+            const auto* body = item.message.body.Aswork_request();
+            n += body != nullptr ? body->count : 0;
         }
         return n;
     };
+    // One free slot and a look-ahead of two.
     agent.report_from(now, peer, 0, 4);
-    EXPECT_EQ(requests(), 1U);
+    EXPECT_EQ(requested(), 3U);
+    agent.requests.on_tick(now, agent.actions);
+    EXPECT_EQ(requested(), 0U);
+    now += core::milliseconds{20};
     agent.requests.on_tick(now, agent.actions);
-    EXPECT_EQ(requests(), 0U);
-    now += report_min_gap;
+    EXPECT_EQ(requested(), 1U);
+    now += core::milliseconds{20};
     agent.requests.on_tick(now, agent.actions);
-    EXPECT_EQ(requests(), 1U);
+    EXPECT_EQ(requested(), 0U);
+}
+
+// Guards against work that moves although its own agent starts it sooner.
+TEST_F(handover_test, report_short_queue_not_requested_when_busy)
+{
+    fill(1);
+    agent.report_from(now, peer, 0, 1);
+    EXPECT_TRUE(agent.sent().empty());
+    agent.report_from(now, peer, 0, 2);
+    EXPECT_EQ(agent.sent().size(), 1U);
 }
 
 // Guards against a posting that runs at home while the peer may run it, and against work that is lost by a rejection.
