--- a/include/daisydoor/runtime/detail/link_task.hpp
+++ b/include/daisydoor/runtime/detail/link_task.hpp
@@ -56,6 +56,7 @@
     void send_host(const send_to_host& message);
     void send_endpoint(const send_to_endpoint& message);
     peer_link* find_link(const core::endpoint& remote);
+    peer_link* find_dialled(const core::endpoint& remote);
     void on_tick();
     void dial_mesh(core::time_point now);
     core::milliseconds next_backoff(core::milliseconds previous);
@@ -69,6 +70,9 @@
     std::map<peer_link*, std::unique_ptr<peer_link>> m_links;
     std::map<core::host_id, peer_link*> m_mesh;
     std::map<core::host_id, mesh_target> m_targets;
+    core::time_point m_last_tick{};
+    /// Silence before this time does not count against a link.
+    core::time_point m_silence_starts{};
     link_counters m_counters;
     port<peer_message_received> m_config;
     port<mesh_peer_up> m_peer_up;
--- a/src/runtime/link_task.cpp
+++ b/src/runtime/link_task.cpp
@@ -17,6 +17,7 @@
 /// Mesh links carry a report every 500 ms; a longer silence means that this connection is dead even if a new one works.
 constexpr core::milliseconds mesh_silence{4000};
 constexpr core::milliseconds connect_timeout{2000};
+constexpr core::milliseconds pause_threshold{1000};
 /// Idle links to processes outside the mesh are closed, so that their number stays bounded.
 constexpr core::milliseconds idle_timeout{30'000};
 /// Fan-in of the configuration exchange stays far below this.
@@ -57,6 +58,7 @@
     m_peer_up = m_kernel.find_optional<mesh_peer_up>(service_names::role);
     m_peer_down = m_kernel.find_optional<mesh_peer_down>(service_names::role);
     m_mesh_message = m_kernel.find_optional<mesh_message>(service_names::role);
+    m_last_tick = core::clock::now();
     m_timer.add(link_tick);
 }
 
@@ -181,7 +183,7 @@
     std::vector<peer_link*> leaving;
     for (const auto& [host, link] : m_mesh) {
         const auto it = targets.find(host);
-        if (it == targets.end() || (link->is_dialled() && it->second.dialled != link)) {
+        if (it == targets.end() || (link->is_dialled() && it->second.address != link->remote())) {
             leaving.push_back(link);
         }
     }
@@ -216,6 +218,14 @@
     return found;
 }
 
+peer_link* link_task::find_dialled(const core::endpoint& remote)
+{
+    const auto it = std::find_if(m_links.begin(), m_links.end(), [&remote](const auto& pair) {
+        return !pair.first->is_closed() && pair.first->is_dialled() && pair.first->remote() == remote;
+    });
+    return it == m_links.end() ? nullptr : it->first;
+}
+
 void link_task::send_endpoint(const send_to_endpoint& message)
 {
     if (message.peer == m_options.listen || message.peer.empty()) {
@@ -236,11 +246,17 @@
 void link_task::on_tick()
 {
     const auto now = core::clock::now();
+    if (now - m_last_tick > pause_threshold) {
+        // This process was paused: what its peers have sent meanwhile still waits in the sockets.
+        m_silence_starts = now;
+    }
+    m_last_tick = now;
     std::vector<peer_link*> silent;
     for (const auto& [link, owned] : m_links) {
         const auto it = link->hello() ? m_mesh.find(core::host_id{link->hello()->host}) : m_mesh.end();
         const bool mesh = it != m_mesh.end() && it->second == link;
-        const auto last = mesh ? link->last_received() : std::max(link->last_received(), link->last_sent());
+        const auto used = mesh ? link->last_received() : std::max(link->last_received(), link->last_sent());
+        const auto last = std::max(used, m_silence_starts);
         const auto limit = mesh ? mesh_silence : link->hello() ? idle_timeout : connect_timeout;
         if (!link->is_closed() && now - last > limit) {
             silent.push_back(link);
@@ -255,7 +271,13 @@
 void link_task::dial_mesh(core::time_point now)
 {
     for (auto& [host, target] : m_targets) {
-        if (m_options.hello.host < core::raw(host) && target.dialled == nullptr && now >= target.next_dial) {
+        if (m_options.hello.host >= core::raw(host) || target.dialled != nullptr || now < target.next_dial) {
+            continue;
+        }
+        // The configuration exchange may have dialled the peer already. A second link would take the place of the
+        // first one at the peer, which looks like a lost link to both agents.
+        target.dialled = find_dialled(target.address);
+        if (target.dialled == nullptr) {
             target.dialled = dial(target.address);
         }
     }
