--- a/tests/standins/callers/main.cpp
+++ b/tests/standins/callers/main.cpp
@@ -39,7 +39,8 @@
     app.add_option("--duration-s", in.duration_s, "time after which no more requests start");
     app.add_option("--seed", plan.seed, "seed of the load, also part of the requests' names");
     app.add_option("--request-interval-ms", in.request_interval_ms, "mean time between a session's requests")
-        ->check(CLI::PositiveNumber);
+        ->check(CLI::PositiveNumber)
+        ->take_last();
     app.add_option("--posting-share", plan.options.posting_share, "part of the requests that are postings");
     app.add_option("--deadline-ms", in.deadline_ms, "deadline of each request");
     app.add_option("--answer-bytes", plan.options.most_answer_bytes, "largest answer asked for");
