Use a fresh socket when a session reopens without an answer

Cause: forgotten_paths_are_left failed once in 11 runs with one session that was never served again (8 requests unknown, then 32 not_run by deadline). Its fresh socket had most likely got a port that the fabric had forgotten for another session; the session then asked for a new flow over this socket for ever, since only the path monitor of an open flow replaced sockets.

Change: each time that the opener of a lost flow starts over, after the open timeout, it replaces the socket first.

Ruled out: a fault of the client's socket replacement; the other 23 sessions of the same run recovered through it.

unit-caller-reopen failed before the change (0 replacements) and passes now.

--- a/src/caller/flow_opener.cpp
+++ b/src/caller/flow_opener.cpp
@@ -30,6 +30,8 @@
             m_active = false;
             return m_last_refusal;
         }
+        // The path may have lost track of this socket while no flow was left to find that out.
+        actions.push_back(replace_socket{});
         start(now, random, m_timeout, true);
     }
     if (!m_timer.is_due(now)) {
