Move feeds away from an ejected agent

Cause: after a target was killed, the feeds of its agent stayed there and got no event for as long as the target was down; only draining agents and agents with a surplus moved feeds.

Change: an ejected agent moves its feeds like a draining one, at the preset's rate. Its other flows stay, since their requests are handed over to peers.

Found by target_process_test.killed_target_is_left_and_used_again, which failed before the change (2 of 8 feeds without an event for 30 s) and passes now in 1 s.

--- a/src/agent/flow_mover.cpp
+++ b/src/agent/flow_mover.cpp
@@ -254,7 +254,9 @@
     }
     const bool drains = m_context.own.state == wire::agent_state::draining;
     const auto allowed = static_cast<std::size_t>(m_credit);
-    const std::size_t count = drains ? allowed : std::min(allowed, surplus_feeds(now));
+    // A failed target sends no events, so that an ejected agent keeps no feeds.
+    const bool moves_all = drains || m_context.own.state == wire::agent_state::ejected;
+    const std::size_t count = moves_all ? allowed : std::min(allowed, surplus_feeds(now));
     if (count == 0) {
         return;
     }
