--- a/tests/process/process_fixture.hpp
+++ b/tests/process/process_fixture.hpp
@@ -41,6 +41,15 @@
         EXPECT_TRUE(m_fleet->await_progress_of_all()) << "after " << after << ": " << m_fleet->caller_stats();
     }
 
+    /// @brief Waits until the callers got this many more answers, so that a disturbance meets that much work.
+    void await_answers(double count)
+    {
+        const auto before = support::json_number(m_fleet->caller_stats(), "answered");
+        EXPECT_TRUE(support::await([&] {
+            return support::json_number(m_fleet->caller_stats(), "answered") >= before + count;
+        })) << m_fleet->caller_stats();
+    }
+
     /// @brief Ends the callers and compares what they were told with what targets ran.
     standins::audit_result finish()
     {
--- a/tests/process/unit-process-partition.cpp
+++ b/tests/process/unit-process-partition.cpp
@@ -6,10 +6,16 @@
 namespace
 {
 
+const std::vector<std::string> handing_over_load{"--posting-share", "0.7", "--request-interval-ms", "30"};
+/// More than the work of the deadline (3 s), so that some work began before, some within and some after a cut.
+constexpr double answers_during_cut = 1000;
+
 support::fleet_plan relayed_plan()
 {
     support::fleet_plan plan;
     plan.relays_agents = true;
+    // More work than the slots of a single host take, so that agents hand work to each other.
+    plan.service_time_ms = 40;
     plan.services = {{1, "ledger", {{11, "zone-a"}, {12, "zone-b"}, {13, "zone-a"}}}};
     return plan;
 }
@@ -27,8 +33,9 @@
 // Guards against work that runs on both sides of a cut link, or is told `not_run` though the peer ran it.
 TEST_F(partition_process_test, cut_between_two_agents_doubles_nothing)
 {
-    ASSERT_NO_FATAL_FAILURE(start(relayed_plan(), {"--posting-share", "0.7", "--request-interval-ms", "30"}));
+    ASSERT_NO_FATAL_FAILURE(start(relayed_plan(), handing_over_load));
     ASSERT_TRUE(fleet().control_fabric("cut_link=11&with=12"));
+    await_answers(answers_during_cut);
     expect_progress_of_all("the cut");
     ASSERT_TRUE(fleet().control_fabric("restore_link=11&with=12"));
     expect_progress_of_all("the end of the cut");
@@ -38,8 +45,9 @@
 // Guards against callers that stay with an agent that nobody reaches, and against its work being told `not_run`.
 TEST_F(partition_process_test, cut_of_one_agent_is_survived)
 {
-    ASSERT_NO_FATAL_FAILURE(start(relayed_plan(), {"--posting-share", "0.7"}));
+    ASSERT_NO_FATAL_FAILURE(start(relayed_plan(), handing_over_load));
     ASSERT_TRUE(fleet().control_fabric("cut_host=13"));
+    await_answers(answers_during_cut);
     expect_progress_of_all("the cut");
     ASSERT_TRUE(fleet().control_fabric("restore_host=13"));
     expect_progress_of_all("the end of the cut");
@@ -51,6 +59,7 @@
 {
     ASSERT_NO_FATAL_FAILURE(start({}, {"--posting-share", "0.7"}));
     ASSERT_TRUE(fleet().control_fabric("cut=" + fleet().agent_address(11)));
+    await_answers(answers_during_cut);
     expect_progress_of_all("the cut");
     ASSERT_TRUE(fleet().control_fabric("restore=" + fleet().agent_address(11)));
     expect_progress_of_all("the end of the cut");
--- a/tests/process/unit-process.cpp
+++ b/tests/process/unit-process.cpp
@@ -12,6 +12,17 @@
 /// Above pause_threshold and peer_timeout, so that the process wakes with an outdated view.
 constexpr core::milliseconds freeze_time{2500};
 
+/// Enough requests that each kind of message meets the disturbance.
+constexpr double answers_per_step = 300;
+
+/// Each target has requests in flight at any moment.
+support::fleet_plan busy_plan()
+{
+    support::fleet_plan plan;
+    plan.service_time_ms = 40;
+    return plan;
+}
+
 class whole_path_test : public process_test
 {
 };
@@ -38,6 +49,7 @@
 TEST_F(whole_path_test, load_without_failure_is_answered)
 {
     ASSERT_NO_FATAL_FAILURE(start());
+    await_answers(answers_per_step);
     expect_progress_of_all("the start");
     const auto result = finish();
     expect_sound(result);
@@ -51,6 +63,7 @@
     support::fleet_plan plan;
     plan.fabric_options = {"--loss", "0.05", "--duplicate", "0.05", "--reorder", "0.2"};
     ASSERT_NO_FATAL_FAILURE(start(plan));
+    await_answers(answers_per_step);
     expect_progress_of_all("the start");
     const auto result = finish();
     expect_sound(result);
@@ -62,8 +75,10 @@
 {
     ASSERT_NO_FATAL_FAILURE(start());
     fleet().entry(0).kill();
+    await_answers(answers_per_step);
     expect_progress_of_all("the kill of an entry");
     fleet().start_entry(0);
+    await_answers(answers_per_step);
     expect_progress_of_all("the restart of the entry");
     const auto result = finish();
     expect_sound(result);
@@ -77,6 +92,7 @@
     fleet().entry(1).send_signal(SIGSTOP);
     std::this_thread::sleep_for(freeze_time);
     fleet().entry(1).send_signal(SIGCONT);
+    await_answers(answers_per_step);
     expect_progress_of_all("the pause of an entry");
     const auto result = finish();
     expect_sound(result);
@@ -86,10 +102,12 @@
 // Guards against postings that a restarted agent runs again, and against flows that stay with the dead incarnation.
 TEST_F(agent_process_test, killed_and_restarted_agent_runs_no_posting_twice)
 {
-    ASSERT_NO_FATAL_FAILURE(start({}, {"--posting-share", "0.7"}));
+    ASSERT_NO_FATAL_FAILURE(start(busy_plan(), {"--posting-share", "0.7"}));
     fleet().agent(11).kill();
+    await_answers(answers_per_step);
     expect_progress_of_all("the kill of an agent");
     fleet().start_agent(11);
+    await_answers(answers_per_step);
     expect_progress_of_all("the restart of the agent");
     expect_sound(finish());
 }
@@ -97,10 +115,11 @@
 // Guards against an agent that runs expired work after a pause, or that its peers' fences cannot hold.
 TEST_F(agent_process_test, frozen_agent_runs_no_refused_work)
 {
-    ASSERT_NO_FATAL_FAILURE(start({}, {"--posting-share", "0.7"}));
+    ASSERT_NO_FATAL_FAILURE(start(busy_plan(), {"--posting-share", "0.7"}));
     fleet().agent(21).send_signal(SIGSTOP);
     std::this_thread::sleep_for(freeze_time);
     fleet().agent(21).send_signal(SIGCONT);
+    await_answers(answers_per_step);
     expect_progress_of_all("the pause of an agent");
     expect_sound(finish());
 }
@@ -108,8 +127,9 @@
 // Guards against refusals `not_run` for work that the killed target had begun, and feeds that end with it.
 TEST_F(target_process_test, killed_target_is_left_and_used_again)
 {
-    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_NO_FATAL_FAILURE(start(busy_plan()));
     fleet().target(12).kill();
+    await_answers(answers_per_step);
     expect_progress_of_all("the kill of a target");
     fleet().start_target(12);
     expect_progress_of_all("the restart of the target");
@@ -119,9 +139,10 @@
 // Guards against a drain that interrupts requests, breaks flows, or never ends.
 TEST_F(target_process_test, drained_target_breaks_no_flow)
 {
-    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_NO_FATAL_FAILURE(start(busy_plan()));
     ASSERT_TRUE(fleet().control_target(22, "mode=draining"));
     EXPECT_TRUE(fleet().agent(22).wait(core::milliseconds(40'000))) << "the drained agent still holds flows";
+    await_answers(answers_per_step);
     expect_progress_of_all("the drain");
     const auto result = finish();
     expect_sound(result);
@@ -132,10 +153,11 @@
 // Guards against a drain by configuration that differs from one by the target.
 TEST_F(target_process_test, host_drained_by_configuration_breaks_no_flow)
 {
-    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_NO_FATAL_FAILURE(start(busy_plan()));
     fleet().host(11).draining = true;
     fleet().publish();
     EXPECT_TRUE(fleet().agent(11).wait(core::milliseconds(40'000))) << "the drained agent still holds flows";
+    await_answers(answers_per_step);
     expect_progress_of_all("the drain");
     const auto result = finish();
     expect_sound(result);
@@ -181,6 +203,7 @@
     fleet().publish();
     EXPECT_TRUE(fleet().agent(12).wait(core::milliseconds(40'000)));
     ASSERT_TRUE(fleet().control_platform("serve=" + old_values.string()));
+    await_answers(answers_per_step);
     expect_progress_of_all("the platform went back to an older version");
     const auto result = finish();
     expect_sound(result);
