Look at open records only when deadlines are checked

Cause: each tick passed four times over all records, most of which have ended and wait for the caller's acknowledgement, and each event looked through the queue for a peer even if none had free slots.

Change: the table keeps the keys of open records, whose number the queue bound and the slots limit; foreign records are checked for their retention once a second. agent_core reports a replaced link as down to flows.

--- a/include/daisydoor/agent/detail/request_table.hpp
+++ b/include/daisydoor/agent/detail/request_table.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace daisydoor::agent::detail
@@ -30,12 +31,14 @@
 class request_table
 {
   public:
-    using record_visitor = std::function<void(work_record&)>;
+    using predicate = std::function<bool(const work_record&)>;
 
     /// Complexity of all look-ups: logarithmic in the number of records.
     [[nodiscard]] work_record* find(const work_key& key);
     work_record& insert(work_record record);
     void erase(const work_key& key);
+    /// @brief Notes that the record has ended; it stays, but open_keys_if() skips it from now on.
+    void close(const work_key& key) { m_open.erase(key); }
 
     [[nodiscard]] number_position position(core::flow_id flow, core::request_number number) const;
     /// @brief Raises the acknowledged number of a flow; never lowers it. Returns whether it was raised.
@@ -46,12 +49,15 @@
     /// @brief Keys of a home flow's records, in the order of their numbers.
     [[nodiscard]] std::vector<work_key> keys_of_flow(core::host_id home, core::incarnation_id incarnation,
                                                      core::flow_id flow) const;
-    /// @brief Calls `visit` for each record. The visitor must not insert or erase records.
-    void for_each(const record_visitor& visit);
+    /// @brief Keys of the records for which `accept` holds. Complexity: linear in the number of records.
+    [[nodiscard]] std::vector<work_key> keys_if(const predicate& accept) const;
+    /// @brief The same among records that have not ended, whose number the queue bound and the slots limit.
+    [[nodiscard]] std::vector<work_key> open_keys_if(const predicate& accept) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_records.size(); }
 
   private:
     std::map<work_key, work_record> m_records;
+    std::set<work_key> m_open;
     std::unordered_map<core::flow_id, core::request_number> m_acknowledged;
 };
 
--- a/include/daisydoor/agent/detail/work_impl.hpp
+++ b/include/daisydoor/agent/detail/work_impl.hpp
@@ -24,6 +24,8 @@
 /// can still arrive.
 constexpr core::milliseconds cancel_grace{100};
 constexpr core::milliseconds probe_interval{1000};
+/// Pause between looks at all records for those past their retention, which is far longer.
+constexpr core::milliseconds retention_sweep_interval{1000};
 /// Requests of peers that wait here for the next free slot, so that it does not stay idle for a round trip.
 constexpr std::size_t work_lookahead = 2;
 /// A shorter queue than this empties at its own agent before a hand-over pays off.
@@ -116,8 +118,6 @@
     void drop_work_of_old_incarnation(core::host_id host, core::incarnation_id incarnation);
     void expire_foreign_records(core::time_point now);
 
-    /// @brief Keys of the records for which `accept` holds, so that the caller may change the table.
-    std::vector<detail::work_key> keys_if(const std::function<bool(const detail::work_record&)>& accept);
     [[nodiscard]] bool is_link_up(core::host_id host) const;
 
     agent_context& ctx;
@@ -129,7 +129,7 @@
     std::map<exchange_id, detail::exchange_state> exchanges;
     std::uint64_t last_exchange = 0;
     core::time_point probed_at{};
-    bool was_ejected = false;
+    core::time_point next_retention_sweep{};
     bool drain_window_ended = false;
     counters count;
 };
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -299,6 +299,10 @@
 {
     m_impl->note_time(now, actions);
     auto& peer = m_impl->ctx.peers[host];
+    if (peer.link_up) {
+        // A new link has replaced one whose end was not reported.
+        m_impl->sessions.on_peer_down(now, host, actions);
+    }
     if (peer.incarnation != incarnation) {
         // The report belongs to the earlier incarnation.
         peer.report = {};
--- a/src/agent/request_table.cpp
+++ b/src/agent/request_table.cpp
@@ -23,10 +23,15 @@
 work_record& request_table::insert(work_record record)
 {
     const work_key key = record.key;
+    m_open.insert(key);
     return m_records.insert_or_assign(key, std::move(record)).first->second;
 }
 
-void request_table::erase(const work_key& key) { m_records.erase(key); }
+void request_table::erase(const work_key& key)
+{
+    m_open.erase(key);
+    m_records.erase(key);
+}
 
 number_position request_table::position(core::flow_id flow, core::request_number number) const
 {
@@ -73,11 +78,26 @@
     return result;
 }
 
-void request_table::for_each(const record_visitor& visit)
+std::vector<work_key> request_table::keys_if(const predicate& accept) const
+{
+    std::vector<work_key> result;
+    for (const auto& [key, record] : m_records) {
+        if (accept(record)) {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
+std::vector<work_key> request_table::open_keys_if(const predicate& accept) const
 {
-    for (auto& [key, record] : m_records) {
-        visit(record);
+    std::vector<work_key> result;
+    for (const auto& key : m_open) {
+        if (accept(m_records.at(key))) {
+            result.push_back(key);
+        }
     }
+    return result;
 }
 
 } // namespace daisydoor::agent::detail
--- a/src/agent/work.cpp
+++ b/src/agent/work.cpp
@@ -37,17 +37,6 @@
     return it != ctx.peers.end() && it->second.link_up;
 }
 
-std::vector<work_key> work::impl::keys_if(const std::function<bool(const work_record&)>& accept)
-{
-    std::vector<work_key> result;
-    table.for_each([&](const work_record& record) {
-        if (accept(record)) {
-            result.push_back(record.key);
-        }
-    });
-    return result;
-}
-
 core::milliseconds work::impl::retry_after(refusal_reason reason) const
 {
     if (reason == refusal_reason::cancelled || reason == refusal_reason::outside_window) {
@@ -223,6 +212,7 @@
     }
     record.state = record_state::answered;
     record.finished_at = now;
+    table.close(record.key);
     record.status = status;
     record.answer = std::move(payload);
     record.payload = {};
@@ -242,6 +232,7 @@
     }
     record.state = record_state::refused;
     record.finished_at = now;
+    table.close(record.key);
     record.refusal = {record.may_have_run ? refusal_kind::unknown : kind, reason, retry_after(reason)};
     record.payload = {};
     if (record.foreign) {
@@ -315,12 +306,10 @@
 
 bool work::has_unacknowledged_results() const
 {
-    bool result = false;
-    m_impl->table.for_each([&](const work_record& record) {
-        result = result ||
-                 (record.foreign && record.is_final() && !record.fenced_unseen && m_impl->is_link_up(record.key.home));
+    const auto keys = m_impl->table.keys_if([this](const work_record& record) {
+        return record.foreign && record.is_final() && !record.fenced_unseen && m_impl->is_link_up(record.key.home);
     });
-    return result;
+    return !keys.empty();
 }
 
 void work::on_peer_up(core::time_point now, core::host_id host, core::incarnation_id incarnation, action_list& actions)
--- a/src/agent/work_exchange.cpp
+++ b/src/agent/work_exchange.cpp
@@ -203,7 +203,7 @@
 
 void work::impl::expire_queued(core::time_point now, action_list& actions)
 {
-    const auto expired = keys_if(
+    const auto expired = table.open_keys_if(
         [now](const work_record& record) { return record.state == record_state::queued && record.deadline <= now; });
     for (const auto& key : expired) {
         queue.erase(key);
--- a/src/agent/work_executor.cpp
+++ b/src/agent/work_executor.cpp
@@ -165,7 +165,7 @@
 
 void work::impl::drop_work_of_old_incarnation(core::host_id host, core::incarnation_id incarnation)
 {
-    const auto old = keys_if([&](const work_record& record) {
+    const auto old = table.keys_if([&](const work_record& record) {
         return record.foreign && record.key.home == host && record.key.incarnation != incarnation;
     });
     for (const auto& key : old) {
@@ -175,7 +175,11 @@
 
 void work::impl::expire_foreign_records(core::time_point now)
 {
-    const auto expired = keys_if([now](const work_record& record) {
+    if (now < next_retention_sweep) {
+        return;
+    }
+    next_retention_sweep = now + detail::retention_sweep_interval;
+    const auto expired = table.keys_if([now](const work_record& record) {
         return record.foreign && record.is_final() && now - record.finished_at >= detail::peer_record_retention;
     });
     for (const auto& key : expired) {
--- a/src/agent/work_home.cpp
+++ b/src/agent/work_home.cpp
@@ -36,7 +36,7 @@
 
 void work::impl::hand_over_queued(core::time_point now, action_list& actions)
 {
-    while (!queue.empty()) {
+    while (!queue.empty() && credit.has_free_peer(now, queue.size())) {
         const std::size_t queued = queue.size();
         const auto next = queue.pop_if([&](const queued_work& entry) {
             const auto* record = table.find(entry.key);
@@ -54,7 +54,8 @@
 void work::impl::evacuate(core::time_point now, action_list& actions)
 {
     const bool drained = is_drained(now);
-    const auto queued = keys_if([](const work_record& record) { return record.state == record_state::queued; });
+    const auto queued =
+        table.open_keys_if([](const work_record& record) { return record.state == record_state::queued; });
     for (const auto& key : queued) {
         auto& record = *table.find(key);
         const auto* peer = record.foreign ? nullptr : credit.choose_any(now, record);
@@ -146,7 +147,7 @@
 void work::impl::resolve_after_link_up(core::time_point now, core::host_id host, core::incarnation_id incarnation,
                                        action_list& actions)
 {
-    const auto open = keys_if([host](const work_record& record) {
+    const auto open = table.open_keys_if([host](const work_record& record) {
         return record.state == record_state::handed_to_peer && record.peer == host;
     });
     for (const auto& key : open) {
@@ -164,7 +165,7 @@
 void work::impl::retry_after_link_loss(core::time_point now, core::host_id host, action_list& actions)
 {
     // A posting waits for the link, because only the peer can tell its outcome. An idempotent request need not.
-    const auto open = keys_if([host](const work_record& record) {
+    const auto open = table.open_keys_if([host](const work_record& record) {
         return record.state == record_state::handed_to_peer && record.peer == host && record.is_idempotent() &&
                !record.cancelled && !record.abandoned;
     });
@@ -179,7 +180,7 @@
 
 void work::impl::expire_handed_over(core::time_point now, action_list& actions)
 {
-    const auto expired = keys_if([now](const work_record& record) {
+    const auto expired = table.open_keys_if([now](const work_record& record) {
         return record.state == record_state::handed_to_peer && record.deadline <= now;
     });
     for (const auto& key : expired) {
--- a/tests/unit/unit-agent-handover.cpp
+++ b/tests/unit/unit-agent-handover.cpp
@@ -227,6 +227,21 @@
     EXPECT_EQ(told[0].reason, refusal_reason::draining);
 }
 
+// Guards against queued work that waits for a target that fails, and against work that is refused while it waits.
+TEST_F(handover_test, ejected_queued_handed_over)
+{
+    fill(3);
+    agent.report_from(now, peer, 0, 5, wire::agent_state::draining);
+    agent.ctx.own.state = wire::agent_state::ejected;
+    agent.requests.on_tick(now, agent.actions);
+    EXPECT_TRUE(agent.sent().empty());
+    EXPECT_EQ(agent.requests.queued(), 2U);
+    agent.report_from(now, peer, 0);
+    EXPECT_EQ(agent.sent().size(), 2U);
+    EXPECT_EQ(agent.requests.queued(), 0U);
+    EXPECT_TRUE(agent.tell().empty());
+}
+
 class executor_test : public ::testing::Test
 {
   protected:
