--- a/src/caller/feed_receiver.cpp
+++ b/src/caller/feed_receiver.cpp
@@ -2,6 +2,8 @@
 
 #include "daisydoor/core/fault.hpp"
 
+#include <algorithm>
+
 namespace daisydoor::caller::detail
 {
 
@@ -19,6 +21,7 @@
 {
     m_path = std::move(path);
     m_last = last_event;
+    m_acknowledge_on.clear();
     restart(now);
 }
 
@@ -29,6 +32,15 @@
     resubscribe(now);
 }
 
+void feed_receiver::on_subscribed(core::event_id position, session_actions& actions)
+{
+    m_confirmed = true;
+    if (m_last == core::event_id{0}) {
+        m_last = position;
+        deliver_held(actions);
+    }
+}
+
 void feed_receiver::send_subscribe(const wire::flow_token& token, session_actions& actions) const
 {
     wire::subscribeT body;
@@ -39,8 +51,8 @@
 
 bool feed_receiver::is_next(std::uint64_t previous) const noexcept
 {
-    // Previous 0 marks the first event of a subscription without a position. Any other event claims that none lies
-    // between its previous one and itself, so that a previous one before the position leaves no gap.
+    // Previous 0 marks the first event that the target has ever sent to the agent. Any other event claims that none
+    // lies between its previous one and itself, so that a previous one before the position leaves no gap.
     const auto last = core::raw(m_last);
     return previous == last || (previous != 0 && previous < last) || core::is_active(core::fault::skip_gap_check);
 }
@@ -56,10 +68,10 @@
     while (!m_held.empty()) {
         const auto it = m_held.begin();
         if (it->first > core::raw(m_last)) {
-            if (!is_next(it->second.previous)) {
+            if (!is_next(it->second.previous) || !it->second.data.is_complete()) {
                 return;
             }
-            deliver(it->first, std::move(it->second.data), actions);
+            deliver(it->first, it->second.data.take(), actions);
         }
         m_held.erase(it);
     }
@@ -78,18 +90,24 @@
         }
         return;
     }
-    if (is_next(body.previous)) {
-        deliver(body.id, body.data, actions);
-        deliver_held(actions);
-        m_gap = !m_held.empty();
-        m_gap_since = now;
-        m_gap_timer.start(now);
-        return;
+    if (m_held.size() >= max_held_events && m_held.count(body.id) == 0) {
+        // The next event is always taken, or a full store would block it for good.
+        if (!is_next(body.previous)) {
+            return;
+        }
+        m_held.erase(std::prev(m_held.end()));
     }
-    if (m_held.size() < max_held_events) {
-        m_held[body.id] = {body.previous, body.data};
+    const auto last = m_last;
+    auto& held = m_held[body.id];
+    // Segments carry the same data from every flow, but the previous id depends on the flow's position.
+    if (is_next(body.previous) || body.previous > held.previous) {
+        held.previous = body.previous;
     }
-    if (!m_gap) {
+    held.data.add(body.segment, std::max<std::size_t>(body.segment_count, 1), body.data);
+    deliver_held(actions);
+    if (m_held.empty()) {
+        m_gap = false;
+    } else if (!m_gap || m_last != last) {
         m_gap = true;
         m_gap_since = now;
         m_gap_timer.start(now);
