--- a/tests/unit/unit-config-sync.cpp
+++ b/tests/unit/unit-config-sync.cpp
@@ -96,6 +96,30 @@
     EXPECT_GT(net.platform_calls() - before, 0U);
 }
 
+// Guards against notifiers that lack the changed part: entries would then all read it from the platform at once.
+TEST_F(config_sync_test, publish_many_processes_few_platform_reads)
+{
+    auto text = test::uniform_fleet(30, 300, 3, 2);
+    net.publish(text);
+    net.publish_value("fleet", 1, fleet_text(1, text, 30));
+    for (std::uint32_t i = 1; i <= 30; ++i) {
+        net.add_entry(i, text.zones[(i - 1) % 3].first);
+    }
+    net.add_agents(text);
+    net.run(in_force_limit);
+    ASSERT_TRUE(net.all_at(1));
+    const auto idle_before = net.platform_calls();
+    net.run(in_force_limit);
+    const auto before = net.platform_calls();
+    text.version = 2;
+    text.parts[7][0].hosts[0].slots = 9;
+    net.publish(text);
+    net.run(in_force_limit);
+    EXPECT_TRUE(net.all_at(2));
+    // Besides the reads of a quiet period, the six readers read the part and watch again.
+    EXPECT_LT(net.platform_calls() - before, 2 * (before - idle_before) + 40);
+}
+
 // Guards against a configuration that needs the platform once it has been accepted anywhere.
 TEST_F(config_sync_test, start_platform_down_peers_serve)
 {
