--- a/tests/unit/unit-agent-flows.cpp
+++ b/tests/unit/unit-agent-flows.cpp
@@ -235,7 +235,7 @@
     for (std::size_t i = 0; i < 4; ++i) {
         most = std::max(most, world.feeds_at(i));
     }
-    EXPECT_LE(static_cast<double>(most), 120 / 4 * 1.05);
+    EXPECT_LE(static_cast<double>(most), 120.0 / 4 * 1.05);
     const auto moved = world.total().flows_moved;
     EXPECT_LE(moved - moved_before, 40U) << "30 are enough";
     world.run(seconds{20});
