Mark the mesh link in its hello

An agent that dialled a peer for the configuration exchange by the address in its hello, while the published address differed (agents behind relays in the partition test), made both agents count the second link as the mesh link and see a lost link; seen as alternating events 1302 and 1301. Matching links by address was ruled out, since the two addresses may differ. The dialler now marks the mesh link, and closes it when another host answers at the address.

configuration_links_around_mesh_link_no_loss replaces the test that covered equal addresses only; it also expects that configuration links never join the mesh.

--- a/include/daisydoor/runtime/detail/link_task.hpp
+++ b/include/daisydoor/runtime/detail/link_task.hpp
@@ -21,8 +21,8 @@
 /// @brief Owner of the TCP links to other daisydoor processes.
 ///
 /// Two agents of one service share one mesh link, which the agent with the lower host id dials; without this rule both
-/// would dial, and the loss of one of two links would hide the loss of messages. Links to other processes are opened on
-/// demand and closed when idle.
+/// would dial, and the loss of one of two links would hide the loss of messages. Links for the configuration exchange
+/// are opened on demand, also between agents, and closed when idle.
 class link_task : public task
 {
   public:
@@ -44,7 +44,7 @@
     };
 
     void accept(int fd, const core::endpoint& remote);
-    peer_link* dial(const core::endpoint& remote);
+    peer_link* dial(const core::endpoint& remote, bool mesh);
     peer_link* add_link(std::unique_ptr<peer_link> link);
     link_hooks hooks();
     void on_hello(peer_link& link);
@@ -56,7 +56,6 @@
     void send_host(const send_to_host& message);
     void send_endpoint(const send_to_endpoint& message);
     peer_link* find_link(const core::endpoint& remote);
-    peer_link* find_dialled(const core::endpoint& remote);
     void on_tick();
     void dial_mesh(core::time_point now);
     core::milliseconds next_backoff(core::milliseconds previous);
--- a/src/runtime/link_task.cpp
+++ b/src/runtime/link_task.cpp
@@ -102,10 +102,12 @@
     add_link(std::make_unique<peer_link>(m_kernel.base(), fd, remote, m_options.hello, m_counters, hooks()));
 }
 
-peer_link* link_task::dial(const core::endpoint& remote)
+peer_link* link_task::dial(const core::endpoint& remote, bool mesh)
 {
     ++m_counters.dialled;
-    return add_link(std::make_unique<peer_link>(m_kernel.base(), -1, remote, m_options.hello, m_counters, hooks()));
+    wire::helloT hello = m_options.hello;
+    hello.mesh = mesh;
+    return add_link(std::make_unique<peer_link>(m_kernel.base(), -1, remote, hello, m_counters, hooks()));
 }
 
 bool link_task::is_mesh_link(const peer_link& link) const
@@ -116,13 +118,27 @@
         own.service != peer.service || own.host == peer.host) {
         return false;
     }
-    return link.is_dialled() == (own.host < peer.host);
+    if (!link.is_dialled()) {
+        return peer.mesh && peer.host < own.host;
+    }
+    const auto it = m_targets.find(core::host_id{peer.host});
+    return it != m_targets.end() && it->second.dialled == &link;
 }
 
 void link_task::on_hello(peer_link& link)
 {
     if (is_mesh_link(link)) {
         join_mesh(link, core::host_id{link.hello()->host});
+        return;
+    }
+    const bool dialled_for_mesh = std::any_of(m_targets.begin(), m_targets.end(),
+                                              [&link](const auto& pair) { return pair.second.dialled == &link; });
+    if (dialled_for_mesh) {
+        // The peer counts this as its mesh link, so it must not stay open.
+        write_limited_log(m_counters.log, log_event::link_refused,
+                          core::to_string(link.remote()) + " is host " + std::to_string(link.hello()->host) +
+                              " of service " + std::to_string(link.hello()->service));
+        link.close();
     }
 }
 
@@ -183,7 +199,7 @@
     std::vector<peer_link*> leaving;
     for (const auto& [host, link] : m_mesh) {
         const auto it = targets.find(host);
-        if (it == targets.end() || (link->is_dialled() && it->second.address != link->remote())) {
+        if (it == targets.end() || (link->is_dialled() && it->second.dialled != link)) {
             leaving.push_back(link);
         }
     }
@@ -218,14 +234,6 @@
     return found;
 }
 
-peer_link* link_task::find_dialled(const core::endpoint& remote)
-{
-    const auto it = std::find_if(m_links.begin(), m_links.end(), [&remote](const auto& pair) {
-        return !pair.first->is_closed() && pair.first->is_dialled() && pair.first->remote() == remote;
-    });
-    return it == m_links.end() ? nullptr : it->first;
-}
-
 void link_task::send_endpoint(const send_to_endpoint& message)
 {
     if (message.peer == m_options.listen || message.peer.empty()) {
@@ -234,7 +242,7 @@
     }
     peer_link* link = find_link(message.peer);
     if (link == nullptr && m_links.size() < max_links) {
-        link = dial(message.peer);
+        link = dial(message.peer, false);
     }
     if (link == nullptr) {
         ++m_counters.undeliverable;
@@ -274,12 +282,7 @@
         if (m_options.hello.host >= core::raw(host) || target.dialled != nullptr || now < target.next_dial) {
             continue;
         }
-        // The configuration exchange may have dialled the peer already. A second link would take the place of the
-        // first one at the peer, which looks like a lost link to both agents.
-        target.dialled = find_dialled(target.address);
-        if (target.dialled == nullptr) {
-            target.dialled = dial(target.address);
-        }
+        target.dialled = dial(target.address, true);
     }
 }
 
--- a/tests/unit/unit-runtime-links.cpp
+++ b/tests/unit/unit-runtime-links.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <event2/event.h>
 
 namespace daisydoor::runtime::detail
@@ -53,6 +54,11 @@
         owner.find<Message>(service_names::links).post(std::move(message));
     }
 
+    [[nodiscard]] bool has(std::uint32_t count) const
+    {
+        return std::find(queries.begin(), queries.end(), count) != queries.end();
+    }
+
     kernel owner;
     core::endpoint address;
     core::host_id id;
@@ -115,20 +121,35 @@
     EXPECT_EQ(a->downs + b->downs, 0);
 }
 
-// Guards against a mesh that replaces a link of the configuration exchange, which both sides saw as a lost link.
-TEST_F(link_task_test, set_mesh_after_configuration_link_no_loss)
+// Guards against a link of the configuration exchange that counts as the mesh link, or takes its place: both agents
+// then saw a lost link. The configuration may name another address for a peer than the peer itself, as behind a relay.
+TEST_F(link_task_test, configuration_links_around_mesh_link_no_loss)
 {
     a->send_to(b->address);
-    ASSERT_TRUE(run_until_up());
+    b->send_to(a->address);
+    ASSERT_TRUE(run_until([this] { return !a->senders.empty() && !b->senders.empty(); }));
+    EXPECT_TRUE(a->ups.empty() && b->ups.empty());
     a->set_mesh(*b);
     b->set_mesh(*a);
+    ASSERT_TRUE(run_until_up());
+    a->send_to(b->address);
+    b->send_to(a->address);
     a->send_work_request(*b, 7);
-    // The first message is the one of the configuration exchange, on the same link.
-    ASSERT_TRUE(run_until([this] { return b->queries.size() == 2; }));
+    b->send_work_request(*a, 8);
+    ASSERT_TRUE(run_until([this] { return a->has(8) && b->has(7); }));
     EXPECT_EQ(a->downs + b->downs, 0);
     EXPECT_EQ(a->ups.size() + b->ups.size(), 2U);
 }
 
+// Guards against work that is sent to the wrong agent after two agents have exchanged their addresses.
+TEST_F(link_task_test, set_mesh_other_host_at_address_no_mesh_link)
+{
+    a->send(set_mesh_peers{{{core::host_id{3}, b->address}}});
+    a->send_to(b->address);
+    ASSERT_TRUE(run_until([this] { return !b->senders.empty(); }));
+    EXPECT_TRUE(a->ups.empty());
+}
+
 // Guards against a peer that is known by the ephemeral port of its link, where nobody can be reached later.
 TEST_F(link_task_test, accepted_link_named_by_listen_address)
 {
