--- a/tests/process/unit-process.cpp
+++ b/tests/process/unit-process.cpp
@@ -184,8 +184,11 @@
     expect_progress_of_all("the platform went down");
     fleet().entry(2).kill();
     fleet().start_entry(2);
-    // Only the restarted entry is left, so that progress shows that it got the configuration from peers.
+    EXPECT_TRUE(support::await([this] { return fleet().entry_version(2) == 1; })) << "no configuration from peers";
+    // Only the restarted entry is left.
     fleet().entry(0).kill();
+    fleet().entry(1).kill();
+    await_answers(answers_per_step);
     expect_progress_of_all("an entry restarted without the platform");
     ASSERT_TRUE(fleet().control_platform("mode=up"));
     const auto result = finish();
@@ -202,9 +205,19 @@
     fleet().host(12).draining = true;
     fleet().publish();
     EXPECT_TRUE(fleet().agent(12).wait(core::milliseconds(40'000)));
+    for (const std::size_t i : {0U, 1U, 2U}) {
+        EXPECT_TRUE(support::await([this, i] { return fleet().entry_version(i) == 2; })) << "entry " << i;
+    }
     ASSERT_TRUE(fleet().control_platform("serve=" + old_values.string()));
+    // A restarted entry reads the older version and must take the newer one from its peers.
+    fleet().entry(2).kill();
+    fleet().start_entry(2);
+    EXPECT_TRUE(support::await([this] { return fleet().entry_version(2) == 2; })) << "the newer version is lost";
     await_answers(answers_per_step);
     expect_progress_of_all("the platform went back to an older version");
+    for (const std::size_t i : {0U, 1U, 2U}) {
+        EXPECT_EQ(fleet().entry_version(i), 2U);
+    }
     const auto result = finish();
     expect_sound(result);
     EXPECT_EQ(result.broken_flows, 0U);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -251,6 +251,15 @@
     return m_range.address(first_entry_host + static_cast<int>(index));
 }
 
+std::uint64_t fleet::entry_version(std::size_t index) const
+{
+    const auto dump =
+        http_call("GET", m_range.address(first_entry_host + static_cast<int>(index), control_port), "/dump");
+    const auto begin = dump.find("\"configuration\": {");
+    const double version = begin == std::string::npos ? 0 : json_number(dump.substr(begin), "version");
+    return version > 0 ? static_cast<std::uint64_t>(version) : 0;
+}
+
 std::string fleet::agent_address(std::uint32_t host) const
 {
     return m_range.address(first_agent_host + static_cast<int>(host));
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -76,6 +76,8 @@
 
     [[nodiscard]] std::string entry_address(std::size_t index) const;
     [[nodiscard]] std::string agent_address(std::uint32_t host) const;
+    /// @brief Version of the configuration that an entry holds, by its state dump; 0 if it holds none.
+    [[nodiscard]] std::uint64_t entry_version(std::size_t index) const;
     /// @brief POST to the control address of a stand-in. @return whether it was accepted
     bool control_platform(const std::string& query) const;
     bool control_fabric(const std::string& query) const;
