--- a/tests/process/unit-process.cpp
+++ b/tests/process/unit-process.cpp
@@ -150,6 +150,21 @@
     EXPECT_EQ(result.unknown, 0U);
 }
 
+// Guards against a drain that ends requests which take longer than the time in which it accepts new ones (2 s).
+TEST_F(target_process_test, drained_target_finishes_long_requests)
+{
+    support::fleet_plan plan;
+    plan.service_time_ms = 1500;
+    ASSERT_NO_FATAL_FAILURE(start(plan, {"--deadline-ms", "20000", "--request-interval-ms", "1000", "--outstanding",
+                                         "2", "--posting-share", "0.7"}));
+    ASSERT_TRUE(fleet().control_target(12, "mode=draining"));
+    EXPECT_TRUE(fleet().agent(12).wait(core::milliseconds(60'000))) << "the drained agent still holds flows";
+    const auto result = finish();
+    expect_sound(result);
+    EXPECT_EQ(result.broken_flows, 0U);
+    EXPECT_EQ(result.unknown, 0U);
+}
+
 // Guards against a drain by configuration that differs from one by the target.
 TEST_F(target_process_test, host_drained_by_configuration_breaks_no_flow)
 {
