Ask peers before the platform for the parts of an announced version

Cause: when the notifier was an agent of another service, which cannot hold the parts, the fetch began at the platform, because the state before the first request was taken for one that had reached the platform. Change: the platform counts as reached only after a request. The test counts reads of parts. Ruled out: timeouts at peers; the links of the test lose nothing.

--- a/src/config/part_fetcher.cpp
+++ b/src/config/part_fetcher.cpp
@@ -28,7 +28,8 @@
         std::find(state.peers.begin(), state.peers.end(), *peer) != state.peers.end()) {
         return;
     }
-    const bool was_platform = !is_new && state.source == state.peers.size();
+    // Before the first request no source is in use yet, and peers come before the platform.
+    const bool is_at_platform = state.retry_at && state.source == state.peers.size();
     state.peers.push_back(*peer);
     if (state.timeout > source_timeout) {
         // All earlier sources failed.
@@ -36,7 +37,7 @@
         state.timeout = source_timeout;
         state.retry_at.reset();
         state.in_flight.clear();
-    } else if (was_platform) {
+    } else if (is_at_platform) {
         state.source = state.peers.size();
     }
 }
--- a/tests/support/config_network.cpp
+++ b/tests/support/config_network.cpp
@@ -111,6 +111,7 @@
 
 void config_network::read(const core::endpoint& reader, const config::read_platform_value& call)
 {
+    m_part_reads += call.key.rfind("services/", 0) == 0 ? 1 : 0;
     if (call.after && is_platform_up) {
         m_watches.push_back({reader, call.key, *call.after, now + call.wait});
     } else {
--- a/tests/support/config_network.hpp
+++ b/tests/support/config_network.hpp
@@ -47,6 +47,8 @@
     [[nodiscard]] bool all_at(std::uint64_t version) const;
     [[nodiscard]] std::size_t reader_count() const;
     [[nodiscard]] std::uint64_t platform_calls() const;
+    /// @brief Reads of parts from the platform.
+    [[nodiscard]] std::size_t part_reads() const noexcept { return m_part_reads; }
     [[nodiscard]] std::size_t rejections() const noexcept { return m_rejections.size(); }
     [[nodiscard]] bool has_rejection(config::errc code) const;
     [[nodiscard]] std::size_t confirmations(const core::endpoint& address) const;
@@ -102,6 +104,7 @@
     std::vector<watch> m_watches;
     std::multimap<core::time_point, event> m_events;
     std::multiset<int> m_rejections;
+    std::size_t m_part_reads = 0;
     core::random_source m_random{42};
 };
 
