Let readers fetch parts from the platform that announced them

Cause: with peers before the platform, a reader that was notified first waited 1 s at entries that lacked the parts. Change: an index that the platform serves makes the platform the next source.

--- a/src/config/part_fetcher.cpp
+++ b/src/config/part_fetcher.cpp
@@ -24,7 +24,14 @@
     if (is_new) {
         state.timeout = source_timeout;
     }
-    if (!peer || state.peers.size() >= max_sources ||
+    if (!peer) {
+        // The platform serves the version, while peers may not have its parts yet.
+        state.source = state.peers.size();
+        state.retry_at.reset();
+        state.in_flight.clear();
+        return;
+    }
+    if (state.peers.size() >= max_sources ||
         std::find(state.peers.begin(), state.peers.end(), *peer) != state.peers.end()) {
         return;
     }
--- a/src/config/part_fetcher.hpp
+++ b/src/config/part_fetcher.hpp
@@ -29,7 +29,7 @@
   public:
     explicit part_fetcher(version_store& store) : m_store(store) {}
 
-    /// @brief Adds a source; `peer` is empty for the platform, which is always tried last.
+    /// @brief Adds a source. Without a peer it is the platform, which is then asked next; otherwise it is asked last.
     void add_source(std::uint64_t digest, const std::optional<core::endpoint>& peer);
     /// @brief A peer lacks the parts that it was asked for.
     void on_vain_answer(core::time_point now, const core::endpoint& peer);
