Catch the faults skip_incarnation_check and skip_drain_forward in the flow tests

Cause: with the mutation build, neither fault failed a test of this part: the flows moved on from the draining agent, and old tokens named no held flow. Change: the drain test counts the opens that draining agents answered, and a test lets an old token name another caller's flow number.

--- a/tests/unit/unit-agent-flows.cpp
+++ b/tests/unit/unit-agent-flows.cpp
@@ -267,7 +267,8 @@
     }
     world.run(seconds{2});
     EXPECT_GT(forwarded, 0U);
-    EXPECT_EQ(world.flows_at(0) + world.flows_at(1), 0U);
+    EXPECT_EQ(world.nodes[0]->core->counters().opens_answered, 0U);
+    EXPECT_EQ(world.nodes[1]->core->counters().opens_answered, 0U);
     EXPECT_GE(world.flows_at(2), 12U);
     for (const auto& it : world.clients) {
         EXPECT_TRUE(it->session->is_open());
@@ -292,35 +293,75 @@
     expect_feeds_go_on(world);
 }
 
+/// @brief Flows of one incarnation without a network.
+struct single_agent
+{
+    explicit single_agent(core::incarnation_id incarnation) : requests(context), subject(context, requests)
+    {
+        context.options = {core::host_id{1}, core::service_id{1}, "zone-a", incarnation, seconds{300}};
+        auto shared = std::make_shared<config::snapshot>();
+        shared->services.resize(1);
+        context.service = shared->services.data();
+        context.snapshot = shared;
+        context.sealer =
+            std::make_unique<wire::token_sealer>(std::vector<wire::token_key>{{core::key_id{1}, {}, true}});
+    }
+
+    wire::flow_token open()
+    {
+        action_list actions;
+        subject.on_open(now, {}, {}, {}, {}, actions);
+        const auto& bytes = std::get<send_datagram>(actions.at(0)).bytes;
+        return wire::header_of({bytes.data(), bytes.size()})->token();
+    }
+
+    agent_context context;
+    work requests;
+    flows subject;
+    core::time_point now{std::chrono::hours(1)};
+};
+
+// Guards against a token of an earlier incarnation that names another caller's flow, and against `not_run` for a
+// posting whose record is lost.
+TEST_F(flows_test, token_of_earlier_incarnation_refused_unknown)
+{
+    const auto old = single_agent(core::incarnation_id{5}).open();
+    single_agent restarted(core::incarnation_id{6});
+    ASSERT_EQ(restarted.open().flow(), old.flow());
+    wire::requestT posting;
+    posting.number = 3;
+    posting.kind = wire::request_kind::non_idempotent;
+    const auto packet = wire::make_packet(posting);
+    const wire::packet_header header(wire::packet_magic, wire::packet_class::established, 0, 0, old);
+    action_list actions;
+    EXPECT_FALSE(restarted.subject.find(restarted.now, {}, header, packet.body, actions).has_value());
+    ASSERT_EQ(actions.size(), 2U);
+    const auto& bytes = std::get<send_datagram>(actions[0]).bytes;
+    const auto refusal =
+        wire::decode_packet({bytes.data() + sizeof(wire::envelope), bytes.size() - sizeof(wire::envelope)});
+    ASSERT_NE(refusal->packet.body.Asrefusal(), nullptr);
+    EXPECT_EQ(refusal->packet.body.Asrefusal()->number, 3U);
+    EXPECT_EQ(refusal->packet.body.Asrefusal()->kind, wire::refusal_kind::unknown);
+}
+
 // Guards against idle flows that stay for good, and against growth of the memory for each flow.
 TEST_F(flows_test, idle_flow_small_and_dropped_after_timeout)
 {
     constexpr std::size_t n = 20000;
-    agent_context context;
-    context.options = {core::host_id{1}, core::service_id{1}, "zone-a", core::incarnation_id{5}, seconds{300}};
-    config::service service;
-    context.service = &service;
-    auto shared = std::make_shared<config::snapshot>();
-    shared->services.push_back(service);
-    context.snapshot = shared;
-    context.sealer = std::make_unique<wire::token_sealer>(std::vector<wire::token_key>{{core::key_id{1}, {}, true}});
-    work requests(context);
-    flows subject(context, requests);
-    core::time_point now{std::chrono::hours(1)};
+    single_agent agent(core::incarnation_id{5});
     const auto before = mallinfo2().uordblks;
     for (std::size_t i = 0; i < n; ++i) {
-        action_list actions;
-        subject.on_open(now, {}, {}, {}, {}, actions);
+        agent.open();
     }
     const auto each = (mallinfo2().uordblks - before) / n;
     RecordProperty("bytes_per_idle_flow", static_cast<int>(each));
-    EXPECT_EQ(subject.held(), n);
+    EXPECT_EQ(agent.subject.held(), n);
     EXPECT_LT(each, 400U);
     action_list actions;
-    subject.on_tick(now + seconds{599}, actions);
-    EXPECT_EQ(subject.held(), n);
-    subject.on_tick(now + seconds{601}, actions);
-    EXPECT_EQ(subject.held(), 0U);
+    agent.subject.on_tick(agent.now + seconds{599}, actions);
+    EXPECT_EQ(agent.subject.held(), n);
+    agent.subject.on_tick(agent.now + seconds{601}, actions);
+    EXPECT_EQ(agent.subject.held(), 0U);
 }
 
 } // namespace
