--- a/include/daisydoor/agent/context.hpp
+++ b/include/daisydoor/agent/context.hpp
@@ -3,6 +3,7 @@
 #include "daisydoor/agent/actions.hpp"
 #include "daisydoor/config/snapshot.hpp"
 #include "daisydoor/core/random.hpp"
+#include "daisydoor/wire/key_ring.hpp"
 
 #include <functional>
 #include <map>
@@ -53,6 +54,7 @@
     const config::service* service = nullptr;
     /// This agent's host entry in `service`.
     const config::host* self = nullptr;
+    wire::key_ring keys;
     std::unique_ptr<wire::token_sealer> sealer;
     std::map<core::host_id, peer_status> peers;
     own_status own;
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -378,7 +378,8 @@
     if (value == nullptr || (older && !core::is_active(core::fault::accept_older_version))) {
         return;
     }
-    ctx.sealer = std::make_unique<wire::token_sealer>(value->keys);
+    ctx.keys.update(now, value->keys);
+    ctx.sealer = std::make_unique<wire::token_sealer>(ctx.keys.keys());
     const bool listed_before = m_impl->service_source != nullptr;
     const bool listed = m_impl->adopt_service(std::move(value));
     m_impl->update_peer_zones();
@@ -415,6 +416,9 @@
 void agent_core::on_tick(core::time_point now, action_list& actions)
 {
     m_impl->note_time(now, actions);
+    if (m_impl->ctx.keys.expire(now)) {
+        m_impl->ctx.sealer = std::make_unique<wire::token_sealer>(m_impl->ctx.keys.keys());
+    }
     m_impl->requests.on_tick(now, actions);
     m_impl->sessions.on_tick(now, actions);
     m_impl->settle(now, actions);
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -3,6 +3,7 @@
 #include "routing_table.hpp"
 
 #include "daisydoor/core/fault.hpp"
+#include "daisydoor/wire/key_ring.hpp"
 
 #include <algorithm>
 #include <cstring>
@@ -42,6 +43,7 @@
     config::snapshot_ptr configuration;
     config::fleet_view_ptr fleet;
     std::optional<detail::routing_table> table;
+    wire::key_ring keys;
     std::optional<wire::token_sealer> sealer;
     entry_counters counters;
     std::optional<core::time_point> last_event;
@@ -175,13 +177,16 @@
     }
 }
 
-void entry_core::on_configuration(core::time_point /*now*/, config::snapshot_ptr value)
+void entry_core::on_configuration(core::time_point now, config::snapshot_ptr value)
 {
     // The new tables are complete before the old ones go, so that a failure leaves the old ones in force.
     detail::routing_table table(*value, m_impl->options.zone);
-    wire::token_sealer sealer(value->keys);
+    auto keys = m_impl->keys;
+    keys.update(now, value->keys);
+    wire::token_sealer sealer(keys.keys());
     table.apply_fleet_view(m_impl->fleet.get());
     m_impl->table.emplace(std::move(table));
+    m_impl->keys = std::move(keys);
     m_impl->sealer.emplace(std::move(sealer));
     m_impl->configuration = std::move(value);
 }
@@ -194,7 +199,13 @@
     }
 }
 
-void entry_core::on_tick(core::time_point now) { m_impl->observe(now); }
+void entry_core::on_tick(core::time_point now)
+{
+    m_impl->observe(now);
+    if (m_impl->keys.expire(now)) {
+        m_impl->sealer.emplace(m_impl->keys.keys());
+    }
+}
 
 void entry_core::confirm_configuration(core::time_point /*now*/) { m_impl->unconfirmed_until.reset(); }
 
--- a/tests/golden/unit-golden-sessions.cpp
+++ b/tests/golden/unit-golden-sessions.cpp
@@ -249,6 +249,26 @@
     expect_all_answered();
 }
 
+// Guards against flows that break when an operator removes a host without draining it first.
+TEST_F(golden_session, host_removed_nothing_cut)
+{
+    world.publish([](publication& it) { it.services[0].hosts.erase(it.services[0].hosts.begin()); });
+    work_for(seconds{6});
+    finish("host_removed");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against flows that break when an operator replaces the token key in one step.
+TEST_F(golden_session, key_replaced_at_once_no_flow_breaks)
+{
+    world.publish([](publication& it) { it.keys = {make_key(2, 8, true)}; });
+    work_for(seconds{15});
+    finish("key_replaced_at_once");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
 // Guards against a preset that is not in force at every agent, and postings that run in maintenance.
 TEST_F(golden_session, preset_maintenance_postings_not_run)
 {
--- a/tests/unit/unit-entry.cpp
+++ b/tests/unit/unit-entry.cpp
@@ -1,6 +1,7 @@
 #include "daisydoor/config/published.hpp"
 #include "daisydoor/core/random.hpp"
 #include "daisydoor/entry/entry_core.hpp"
+#include "daisydoor/wire/key_ring.hpp"
 #include "support/allocation_counter.hpp"
 #include "support/published_text.hpp"
 
@@ -197,6 +198,12 @@
     next.version = 4;
     next.keys = {2};
     configure(next);
+    // Callers whose token is not renewed yet go on for the retention of the removed key, and no longer.
+    EXPECT_EQ(decide(datagram(1, packet_class::established, 0, 0, first)).kind, verdict_kind::forward);
+    for (core::milliseconds time{0}; time < wire::key_retention; time += core::milliseconds{500}) {
+        now += core::milliseconds{500};
+        core.on_tick(now);
+    }
     expect_drop(datagram(1, packet_class::established, 0, 0, first), drop_reason::unknown_key);
     EXPECT_EQ(decide(established(1, 1, 11)).kind, verdict_kind::forward);
 }
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -1,4 +1,5 @@
 #include "daisydoor/wire/datagram.hpp"
+#include "daisydoor/wire/key_ring.hpp"
 #include "daisydoor/wire/peer.hpp"
 #include "daisydoor/wire/token.hpp"
 
@@ -47,6 +48,22 @@
     EXPECT_EQ(new_only.verify(token), token_status::unknown_key);
 }
 
+// Guards against a key that stays valid for longer than its retention, or that signs after it was retired.
+TEST_F(token_test, key_ring_replaced_key_verifies_for_retention)
+{
+    const core::time_point start{std::chrono::hours{1}};
+    key_ring ring;
+    ring.update(start, {key(1, 7, true)});
+    const flow_token token = token_sealer(ring.keys()).seal(fields);
+    ring.update(start, {key(2, 8, true)});
+    token_sealer retained(ring.keys());
+    EXPECT_EQ(retained.verify(token), token_status::valid);
+    EXPECT_EQ(retained.signing_key(), core::key_id{2});
+    EXPECT_FALSE(ring.expire(start + key_retention - core::milliseconds{1}));
+    EXPECT_TRUE(ring.expire(start + key_retention));
+    EXPECT_EQ(token_sealer(ring.keys()).verify(token), token_status::unknown_key);
+}
+
 // Guards against a decoder that reads past the end of a truncated datagram.
 TEST(datagram_test, decode_truncated_rejected)
 {
