Mend lint findings; stop each mutation run at its first failure

Cause: five clang-tidy findings in sources merged without a lint run; a fault was run against all tests although one failure shows that it is caught, which took over nine minutes without a result.

--- a/bench/policy/system.cpp
+++ b/bench/policy/system.cpp
@@ -78,8 +78,9 @@
         service.id = core::service_id{1};
         service.name = "measured";
         service.address = core::parse_endpoint("127.0.100.1:9000");
+        const double share = 1 / static_cast<double>(m_where.hosts_by_zone.size());
         for (std::size_t zone = 0; zone < m_where.hosts_by_zone.size(); ++zone) {
-            value->zones.push_back({"zone-" + std::to_string(zone), 1.0 / m_where.hosts_by_zone.size()});
+            value->zones.push_back({"zone-" + std::to_string(zone), share});
         }
         for (std::size_t i = 0; i < m_where.hosts(); ++i) {
             const auto id = static_cast<std::uint32_t>(first_host + i);
--- a/scripts/mutation_check.sh
+++ b/scripts/mutation_check.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Shows that each deliberate fault in the decision cores is caught by at least one test.
-# Builds with DAISYDOOR_MUTATIONS, then runs the virtual-time tests once for each fault; exits 1 if one is not caught.
+# Builds with DAISYDOOR_MUTATIONS, then runs the virtual-time tests for each fault until the first one fails; exits 1 if
+# none does.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build-mutations}
@@ -10,7 +11,7 @@
     grep -v '^none$')
 
 run() {
-    DAISYDOOR_FAULT=$1 timeout 300 "$build/tests/unit_tests" --gtest_filter='-*process_test*:*random_sessions*/[1-9]' --gtest_brief=1 2>/dev/null |
+    DAISYDOOR_FAULT=$1 timeout 300 "$build/tests/unit_tests" --gtest_filter='-*process_test*:*random_sessions*/[1-9]' --gtest_brief=1 --gtest_fail_fast 2>/dev/null |
         sed -n 's/^\[  FAILED  \] \([A-Za-z0-9_./]*\).*/\1/p' | sort -u | head -3 | paste -sd' ' || true
 }
 export -f run
--- a/tests/golden/unit-random-sessions.cpp
+++ b/tests/golden/unit-random-sessions.cpp
@@ -54,8 +54,8 @@
         result.seed = seed;
         result.hosts = {3, 2};
         result.slots = 2;
-        result.loss = seed % 4 * 0.01;
-        result.duplication = seed % 3 * 0.01;
+        result.loss = static_cast<double>(seed % 4) * 0.01;
+        result.duplication = static_cast<double>(seed % 3) * 0.01;
         result.max_delay = milliseconds{2 + static_cast<int>(seed % 20)};
         return result;
     }
--- a/tests/support/golden.cpp
+++ b/tests/support/golden.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <sstream>
 
 namespace daisydoor::support
 {
@@ -24,8 +25,9 @@
     std::string expected;
     for (std::size_t i = 0; i < transcript.size(); ++i) {
         if (!std::getline(in, expected) || expected != transcript[i]) {
-            return path + " line " + std::to_string(i + 1) + ": expected '" + expected + "', got '" + transcript[i] +
-                   "'";
+            std::ostringstream out;
+            out << path << " line " << i + 1 << ": expected '" << expected << "', got '" << transcript[i] << "'";
+            return out.str();
         }
     }
     return std::getline(in, expected) ? path + ": transcript ends before '" + expected + "'" : "";
--- a/tests/support/session_world.cpp
+++ b/tests/support/session_world.cpp
@@ -165,7 +165,7 @@
         });
     };
     fake_target::hooks hooks;
-    hooks.result = [this, forward_to](agent::exchange_id id, agent::exchange_result result) {
+    hooks.result = [this, forward_to](agent::exchange_id id, const agent::exchange_result& result) {
         forward_to([this, id, result](agent::agent_core& core, agent::action_list& actions) {
             core.on_exchange_result(m_clock.now(), id, result, actions);
         });
