Prove drains with a stale platform, a frozen peer and a peer behind a cut

Cause: cells of docs/PROOFS.md for R6 and R7 were unproved. Change: three golden sessions. A drain while a caller's path is silent stays unproved for R7.

--- a/tests/golden/unit-golden-sessions.cpp
+++ b/tests/golden/unit-golden-sessions.cpp
@@ -235,6 +235,42 @@
     expect_drained(i);
 }
 
+// Guards against a drain that a stale platform takes back.
+TEST_F(golden_session, target_drained_while_platform_stale_nothing_cut)
+{
+    world.publish([](publication& it) { it.services[0].hosts[0].draining = true; });
+    world.run_for(seconds{1});
+    world.set_platform(platform_mode::stale);
+    expect_no_new_work(0);
+    finish("target_drained_while_platform_stale");
+    expect_feeds_unbroken();
+    expect_all_answered();
+}
+
+// Guards against a drain that waits for a frozen peer, and a woken peer that hands work to the leaving agent.
+TEST_F(golden_session, target_drained_while_peer_frozen_no_new_work)
+{
+    const auto leaving = agent_of_caller(0);
+    world.freeze(world.agent_at(leaving == 0 ? 1 : 0), seconds{3});
+    const auto i = drain_during_work();
+    expect_no_new_work(i);
+    finish("target_drained_while_peer_frozen");
+    EXPECT_TRUE(world.agent_at(i).drain_finished);
+}
+
+// Guards against a drain that hands work or flows to a peer behind a cut, or a peer that comes back and asks for work.
+TEST_F(golden_session, target_drained_while_peer_cut_off_no_new_work)
+{
+    const std::size_t peer = agent_of_caller(0) == 0 ? 1 : 0;
+    world.cut(peer, true);
+    const auto i = drain_during_work();
+    expect_no_new_work(i);
+    world.cut(peer, false);
+    expect_no_new_work(i);
+    finish("target_drained_while_peer_cut_off");
+    EXPECT_TRUE(world.agent_at(i).drain_finished);
+}
+
 // Guards against a drain by configuration that reaches entries and agents at different times, twice in a row.
 TEST_F(golden_session, targets_drained_twice_nothing_cut)
 {
