Let a busy peer queue the work of an agent that cannot run it

Their requests went to the only peer, which rejects a hand-over while its queue holds as many requests as its limit, and a rejected request is not offered to the same peer again: it waited at the ejected agent until its deadline. Change: a peer accepts the work of an ejected or draining home agent up to its whole queue bound, where it takes its turn between tenants; an ejected agent refuses work at once that every usable peer has rejected. The unit test failed before (1 of 3 queued) and passes now. Ruled out: a lost result of the target client (overdue exchanges end after their deadline), a silent link (no event 1302), self-connections (ports below the ephemeral range). Also: test names no longer contain pointer values.

--- a/src/agent/work_executor.cpp
+++ b/src/agent/work_executor.cpp
@@ -75,8 +75,11 @@
         return refusal_reason::maintenance;
     }
     // Work whose free slot was taken in the meantime may wait for one exchange at most; the home agent's queue is the
-    // better place for a longer wait, because other peers can take it from there.
-    const bool full = queue.size() >= limiter.limit() || queue.size() >= bound();
+    // better place for a longer wait, because other peers can take it from there. A home agent that cannot run its own
+    // work has no such place: its callers' work takes its turn here.
+    const auto home = peer->second.report.state;
+    const bool home_runs = home == wire::agent_state::active || home == wire::agent_state::cold;
+    const bool full = queue.size() >= bound() || (home_runs && queue.size() >= limiter.limit());
     return free_slots() == 0 && full ? refusal_reason::queue_full : refusal_reason::none;
 }
 
--- a/src/agent/work_home.cpp
+++ b/src/agent/work_home.cpp
@@ -65,6 +65,10 @@
         } else if (drained || record.foreign) {
             queue.erase(key);
             finish_refused(now, record, refusal_kind::not_run, refusal_reason::draining, actions);
+        } else if (!record.tried.empty()) {
+            // Every usable peer has rejected it; waiting for the deadline would only cost the caller time.
+            queue.erase(key);
+            finish_refused(now, record, refusal_kind::not_run, refusal_reason::target_failed, actions);
         }
     }
 }
--- a/tests/unit/unit-agent-handover.cpp
+++ b/tests/unit/unit-agent-handover.cpp
@@ -349,6 +349,27 @@
     EXPECT_EQ(list[0].payload.size(), 3U);
 }
 
+// Guards against requests of an ejected or draining home agent that no busy peer takes until their deadline.
+TEST_F(executor_test, handover_from_home_that_cannot_run_waits_in_queue)
+{
+    deliver(work(1));
+    deliver(work(2));
+    deliver(work(3));
+    const auto list = results();
+    ASSERT_EQ(list.size(), 1U);
+    EXPECT_EQ(list[0].reason, refusal_reason::queue_full);
+    for (const auto state : {wire::agent_state::ejected, wire::agent_state::draining}) {
+        agent.ctx.peers.at(core::host_id{home}).report.state = state;
+        deliver(work(4 + static_cast<std::uint64_t>(state)));
+        EXPECT_TRUE(results().empty());
+    }
+    EXPECT_EQ(agent.requests.queued(), 3U);
+    for (std::uint64_t number = 10; number < 60; ++number) {
+        deliver(work(number));
+    }
+    EXPECT_EQ(agent.requests.queued(), agent.ctx.policy().queue_per_slot * agent.ctx.self->slots);
+}
+
 // Guards against work accepted by an agent that should not start any, and for a home agent that no longer exists.
 TEST_F(executor_test, handover_unfit_rejected)
 {
--- a/tests/unit/unit-config-parse.cpp
+++ b/tests/unit/unit-config-parse.cpp
@@ -4,6 +4,7 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <ostream>
 #include <random>
 
 namespace daisydoor::config
@@ -24,6 +25,12 @@
     const char* place;
 };
 
+/// Keeps pointer values out of the names that ctest lists.
+void PrintTo(const bad_value& value, std::ostream* out) // NOLINT(readability-identifier-naming): name set by GoogleTest
+{
+    *out << value.name;
+}
+
 std::string replaced(std::string text, const bad_value& change)
 {
     const auto at = text.find(change.old_text);
