Define the limits that entries and agents share once

Cause: the pause threshold stood in four files, the age of stale datagrams, the wait for a confirmation and the part at which a fleet view is doubted in two each, so that the roles could drift apart unnoticed. Change: core/limits.hpp holds them; three unused constants of the session world are gone. No value and no assertion changed. Ruled out: sharing the error classes of the families, whose repetition is one line of behaviour each.

--- a/include/daisydoor/agent/context.hpp
+++ b/include/daisydoor/agent/context.hpp
@@ -2,6 +2,7 @@
 
 #include "daisydoor/agent/actions.hpp"
 #include "daisydoor/config/snapshot.hpp"
+#include "daisydoor/core/limits.hpp"
 #include "daisydoor/core/random.hpp"
 #include "daisydoor/wire/key_ring.hpp"
 
@@ -76,8 +77,5 @@
 constexpr core::milliseconds report_interval{500};
 constexpr core::milliseconds report_min_gap{20};
 constexpr core::milliseconds peer_timeout{2000};
-constexpr core::milliseconds pause_threshold{1000};
-constexpr core::milliseconds stale_datagram_age{1000};
-constexpr core::milliseconds confirmation_timeout{2000};
 
 } // namespace daisydoor::agent
--- a/include/daisydoor/agent/detail/lifecycle.hpp
+++ b/include/daisydoor/agent/detail/lifecycle.hpp
@@ -7,8 +7,6 @@
 
 /// Part of a service's hosts that may be ejected at once: the others must carry the load.
 constexpr std::size_t eject_ceiling_percent = 30;
-/// Part of a service's hosts that may look gone in the fleet view before the view itself is doubted.
-constexpr std::size_t fleet_doubt_percent = 30;
 
 /// @brief What the target's results say about it.
 struct target_health
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -102,7 +102,7 @@
         wire::refusalT refusal;
         refusal.kind = wire::refusal_kind::not_run;
         refusal.reason = wire::refusal_reason::no_configuration;
-        refusal.retry_after_ms = static_cast<std::uint32_t>(confirmation_timeout.count());
+        refusal.retry_after_ms = static_cast<std::uint32_t>(core::confirmation_timeout.count());
         const wire::packet_header header(wire::packet_magic, wire::packet_class::reply, decoded->header.attempt(),
                                          decoded->header.flow_hash(), {});
         actions.emplace_back(send_datagram{
@@ -276,7 +276,7 @@
     wire::envelope env;
     std::memcpy(&env, datagram.data, sizeof env);
     const core::milliseconds waited = age + core::milliseconds{env.age_ms()};
-    if (waited > stale_datagram_age && !core::is_active(core::fault::accept_stale_datagram)) {
+    if (waited > core::stale_datagram_age && !core::is_active(core::fault::accept_stale_datagram)) {
         m_impl->drop(agent_drop_reason::stale);
         return;
     }
--- a/src/agent/lifecycle.cpp
+++ b/src/agent/lifecycle.cpp
@@ -36,7 +36,7 @@
     }));
     // An instance that is missing runs, since it reads this; only an explicit departure starts a drain.
     m_fleet_drains = state_of(m_context.options.host) == config::instance_state::leaving &&
-                     gone * 100 <= hosts.size() * fleet_doubt_percent;
+                     gone * 100 <= hosts.size() * core::fleet_doubt_percent;
     apply_drain(now);
 }
 
@@ -54,7 +54,7 @@
 
 bool lifecycle::note_time(core::time_point now)
 {
-    const bool paused = m_last_tick != core::time_point{} && now - m_last_tick > pause_threshold;
+    const bool paused = m_last_tick != core::time_point{} && now - m_last_tick > core::pause_threshold;
     m_last_tick = now;
     if (paused) {
         m_context.own.awaiting_confirmation = true;
@@ -88,7 +88,7 @@
 void lifecycle::update(core::time_point now, const target_health& target)
 {
     auto& own = m_context.own;
-    if (own.awaiting_confirmation && now - m_woke_at >= confirmation_timeout) {
+    if (own.awaiting_confirmation && now - m_woke_at >= core::confirmation_timeout) {
         own.awaiting_confirmation = false;
     }
     if (own.state == wire::agent_state::draining) {
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -3,6 +3,7 @@
 #include "routing_table.hpp"
 
 #include "daisydoor/core/fault.hpp"
+#include "daisydoor/core/limits.hpp"
 #include "daisydoor/wire/key_ring.hpp"
 
 #include <algorithm>
@@ -16,13 +17,7 @@
 namespace
 {
 
-/// A caller has retransmitted a datagram of this age.
-constexpr core::milliseconds stale_datagram_age{1000};
-/// Gap in the event loop after which the held configuration may be outdated.
-constexpr core::milliseconds pause_threshold{1000};
-/// After a pause, opens wait at most this long for a confirmation that may never come.
-constexpr core::milliseconds confirmation_wait{2000};
-/// Half of confirmation_wait, so that a refused open is repeated once or twice before the wait ends.
+/// Half of core::confirmation_timeout, so that a refused open is repeated once or twice before the wait ends.
 constexpr core::milliseconds refusal_retry_after{1000};
 
 /// @brief Fixed-size head of a datagram, copied because receive buffers need not be aligned.
@@ -60,8 +55,8 @@
 
 void entry_core::impl::observe(core::time_point now)
 {
-    if (last_event && now - *last_event > pause_threshold) {
-        unconfirmed_until = now + confirmation_wait;
+    if (last_event && now - *last_event > core::pause_threshold) {
+        unconfirmed_until = now + core::confirmation_timeout;
     }
     if (unconfirmed_until && now >= *unconfirmed_until) {
         unconfirmed_until.reset();
@@ -164,7 +159,7 @@
     datagram_head head;
     std::memcpy(&head, datagram, sizeof head);
     const auto total_age = core::milliseconds(head.envelope.age_ms()) + std::max(age, core::milliseconds(0));
-    if (total_age > stale_datagram_age && !core::is_active(core::fault::accept_stale_datagram)) {
+    if (total_age > core::stale_datagram_age && !core::is_active(core::fault::accept_stale_datagram)) {
         return m_impl->drop(drop_reason::stale);
     }
     switch (head.header.packet_class()) {
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -3,6 +3,7 @@
 
 #include "routing_table.hpp"
 
+#include "daisydoor/core/limits.hpp"
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -16,9 +17,6 @@
 namespace
 {
 
-/// Above this part of a service's hosts the fleet view is more likely to be wrong than the hosts are to be gone.
-constexpr std::size_t fleet_doubt_percent = 30;
-
 /// @brief Exponentially distributed value for a pair of flow and host; the smallest of them wins the rendezvous.
 double exponential(std::uint64_t flow_hash, core::host_id host) noexcept
 {
@@ -117,7 +115,8 @@
         auto* first = m_targets.data() + service.first;
         auto* last = first + service.count;
         const auto gone = view != nullptr ? static_cast<std::size_t>(std::count_if(first, last, is_gone)) : 0;
-        const bool is_believed = view != nullptr && gone * 100 <= std::size_t{service.count} * fleet_doubt_percent;
+        const bool is_believed =
+            view != nullptr && gone * 100 <= std::size_t{service.count} * core::fleet_doubt_percent;
         for (auto* it = first; it != last; ++it) {
             const bool is_draining = m_draining[static_cast<std::size_t>(it - m_targets.data())];
             it->group = is_draining || (is_believed && is_gone(*it)) ? rank_group::last : rank_group::weighted;
--- a/src/runtime/agent_task.cpp
+++ b/src/runtime/agent_task.cpp
@@ -164,7 +164,7 @@
     const auto now = core::clock::now();
     const auto gap = std::chrono::duration_cast<core::milliseconds>(now - m_last_tick);
     m_last_tick = now;
-    if (gap > agent::pause_threshold) {
+    if (gap > core::pause_threshold) {
         write_log(log_event::pause_detected, std::to_string(gap.count()) + " ms");
     }
     handle([this](auto time, auto& actions) { m_core.on_tick(time, actions); });
--- a/src/runtime/entry_task.cpp
+++ b/src/runtime/entry_task.cpp
@@ -1,12 +1,12 @@
 #include "daisydoor/runtime/detail/entry_task.hpp"
 
+#include "daisydoor/core/limits.hpp"
 namespace daisydoor::runtime::detail
 {
 
 namespace
 {
 constexpr core::milliseconds entry_tick{100};
-constexpr core::milliseconds pause_threshold{1000};
 /// An entry keeps nothing; the time lets datagrams that have been received already go out.
 constexpr core::milliseconds stop_delay{100};
 } // namespace
@@ -49,7 +49,7 @@
 void entry_task::on_datagram(const received_datagram& message)
 {
     const auto now = core::clock::now();
-    if (now - m_last_tick > pause_threshold) {
+    if (now - m_last_tick > core::pause_threshold) {
         // After a pause the socket may become readable before the timer fires; the core must learn of the gap first.
         on_tick();
     }
@@ -75,7 +75,7 @@
     const auto now = core::clock::now();
     const auto gap = std::chrono::duration_cast<core::milliseconds>(now - m_last_tick);
     m_last_tick = now;
-    if (gap > pause_threshold) {
+    if (gap > core::pause_threshold) {
         write_log(log_event::pause_detected, std::to_string(gap.count()) + " ms");
         m_refresh.post({});
     }
--- a/src/runtime/link_task.cpp
+++ b/src/runtime/link_task.cpp
@@ -1,5 +1,6 @@
 #include "daisydoor/runtime/detail/link_task.hpp"
 
+#include "daisydoor/core/limits.hpp"
 #include "daisydoor/runtime/detail/socket_address.hpp"
 #include "daisydoor/runtime/events.hpp"
 
@@ -17,7 +18,6 @@
 /// Mesh links carry a report every 500 ms; a longer silence means that this connection is dead even if a new one works.
 constexpr core::milliseconds mesh_silence{4000};
 constexpr core::milliseconds connect_timeout{2000};
-constexpr core::milliseconds pause_threshold{1000};
 /// Idle links to processes outside the mesh are closed, so that their number stays bounded.
 constexpr core::milliseconds idle_timeout{30'000};
 /// Fan-in of the configuration exchange stays far below this.
@@ -254,7 +254,7 @@
 void link_task::on_tick()
 {
     const auto now = core::clock::now();
-    if (now - m_last_tick > pause_threshold) {
+    if (now - m_last_tick > core::pause_threshold) {
         // This process was paused: what its peers have sent meanwhile still waits in the sockets.
         m_silence_starts = now;
     }
--- a/tests/support/session_world.cpp
+++ b/tests/support/session_world.cpp
@@ -14,9 +14,6 @@
 constexpr core::milliseconds agent_tick{10};
 constexpr core::milliseconds entry_tick{100};
 constexpr core::milliseconds sync_tick{100};
-constexpr core::milliseconds caller_tick{10};
-constexpr core::milliseconds platform_delay{5};
-constexpr core::milliseconds platform_timeout{1000};
 
 core::endpoint loopback(unsigned a, unsigned b, std::uint16_t port)
 {
--- a/tests/unit/unit-agent-core.cpp
+++ b/tests/unit/unit-agent-core.cpp
@@ -262,7 +262,7 @@
     now += core::milliseconds{1001};
     core.on_tick(now, actions);
     EXPECT_TRUE(core.context().own.awaiting_confirmation);
-    advance(confirmation_timeout);
+    advance(core::confirmation_timeout);
     EXPECT_FALSE(core.context().own.awaiting_confirmation);
 }
 
