--- a/apps/daisydoor/main.cpp
+++ b/apps/daisydoor/main.cpp
@@ -1,5 +1,7 @@
 #include "daisydoor/runtime/daemon.hpp"
 
+#include "platform/settings.hpp"
+
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
 #include <iostream>
@@ -18,10 +20,10 @@
             std::cout << file << ": settings are valid\n";
             return static_cast<int>(exit_code::ok);
         }
-        // No log files: daisydoor uses no disk (R12).
-        FLAGS_logtostderr = true;
-        FLAGS_minloglevel = static_cast<int>(values.log_level);
-        return run_daemon(values);
+        if (const auto* relay = std::get_if<relay_settings>(&values)) {
+            return run_relay_daemon(*relay, file);
+        }
+        return run_daemon(std::get<settings>(values));
     } catch (const settings_error& e) {
         for (const auto& line : e.lines()) {
             std::cerr << line << '\n';
@@ -38,10 +40,12 @@
 int main(int argc, char** argv)
 {
     google::InitGoogleLogging(argv[0]);
-    CLI::App app("Layer-4 load balancer daemon: an entry or an agent, as its settings say.", "daisydoor");
+    CLI::App app("Layer-4 load balancer daemon: its role is in its settings.", "daisydoor");
     std::string file;
     bool check_only = false;
-    app.add_option("--config", file, "Settings file (docs/settings.md)")->required();
+    app.add_option("--config", file, "Settings file (docs/settings.md)")
+        ->envname(daisydoor::platform::settings_file_variable)
+        ->required();
     app.add_flag("--check", check_only, "Check the settings, report every error and exit");
     app.set_version_flag("--version", "daisydoor " DAISYDOOR_VERSION);
     try {
--- /dev/null
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "daisydoor/relay/actions.hpp"
+#include "daisydoor/relay/entry_relay.hpp"
+#include "daisydoor/relay/fleet_view.hpp"
+#include "daisydoor/relay/placement.hpp"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisydoor::relay
+{
+
+/// A host answers an opening packet within a millisecond; the rest is its turn on a busy processor.
+constexpr core::milliseconds opening_timeout{80};
+/// Opening packets in a row that a host may leave unanswered before new flows avoid it; its packets do not get lost.
+constexpr std::uint32_t opening_miss_limit = 2;
+/// One opening packet in this time probes a host that is avoided.
+constexpr core::milliseconds probe_interval{300};
+/// A new flow passes at most this many agents after the first.
+constexpr std::uint8_t max_hops = 3;
+/// Reports on change; the margins of the placement allow for their age.
+constexpr core::milliseconds report_interval{100};
+/// Reports without a change, so that peers know that the agent lives.
+constexpr core::milliseconds idle_report_interval{1000};
+/// A peer without a report for this long gets no flows: two idle reports may be lost.
+constexpr core::milliseconds peer_report_timeout{2500};
+/// A search that no peer has answered is sent again with the next packet.
+constexpr core::milliseconds search_timeout{300};
+/// A flow that is known to be lost is remembered so that its next packets are answered at once.
+constexpr core::milliseconds lost_flow_time{5000};
+
+struct agent_relay_options
+{
+    /// Address of this process and its host.
+    ipv4 self{};
+    std::string service;
+    std::string availability_zone;
+    core::time_point started_at;
+    /// Whether flows may be older than this process: not if the whole system started with it.
+    bool may_hold_earlier_flows = true;
+    /// A flow that is older may be forgotten by everyone.
+    core::milliseconds flow_ttl{60'000};
+};
+
+/// @brief Decision core of a relaying agent: delivers packets to the host on its machine, places new flows by load, and
+/// finds flows that no table knows. The host is the authority on which flows it holds.
+///
+/// No sockets, clock or randomness.
+class agent_relay
+{
+  public:
+    agent_relay(agent_relay_options options, const fleet_view& view);
+
+    /// @brief A packet of a client, passed by an entry or a peer.
+    /// @param from address of the process that sent it
+    void on_packet(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
+
+    /// @brief A packet that the host sent or returned.
+    void on_host_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+
+    void on_message(ipv4 from, const message& value, core::time_point now, actions& out);
+
+    /// @brief Reports load, and acts on what was not answered in time.
+    void on_tick(core::time_point now, actions& out);
+
+    /// @brief New flows go to peers from now on; open flows stay.
+    void start_drain() noexcept { m_draining = true; }
+
+    /// @brief The host's process is known to be gone: its flows are lost.
+    void on_host_gone(core::time_point now, actions& out);
+
+    [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
+    [[nodiscard]] host_load load() const noexcept;
+    /// @brief Whether packets for the host stay unanswered, so that the driver may ask whether its process lives.
+    [[nodiscard]] bool is_host_suspected() const noexcept { return m_suspected; }
+
+  private:
+    enum class flow_phase : std::uint8_t
+    {
+        /// The opening packet was given to the host.
+        opening,
+        /// The host holds the flow.
+        held,
+        /// A packet of an unknown flow was given to the host, which returns it if it does not hold the flow.
+        probing,
+        /// Peers are asked.
+        searching,
+        /// A peer's host holds the flow, or got its opening packet.
+        elsewhere,
+        /// Nobody holds it.
+        lost,
+    };
+
+    struct flow_record
+    {
+        flow_phase phase = flow_phase::opening;
+        bool busy = false;
+        bool client_fin = false;
+        bool host_fin = false;
+        /// Entry that told of the flow last.
+        ipv4 entry{};
+        /// Peer that holds the flow, or that searches for it.
+        ipv4 peer{};
+        /// End of the client's data so far.
+        std::uint32_t client_sequence = 0;
+        core::time_point touched;
+        core::time_point busy_since;
+        core::time_point phase_since;
+        /// Peers that have not answered the search yet.
+        std::vector<ipv4> asked;
+    };
+
+    struct opening_record
+    {
+        flow_key flow;
+        std::array<std::uint8_t, opening_packet_size> bytes{};
+        ipv4 entry{};
+        std::uint8_t hops = 0;
+        core::time_point deadline;
+    };
+
+    using flow_map = std::unordered_map<flow_key, flow_record, flow_key_hash>;
+
+    void open(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    void open_again(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                    actions& out);
+    bool pass_on(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops, const peer_load* peer,
+                 std::string_view reason, core::time_point now, actions& out);
+    void give_to_host(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops, core::time_point now,
+                      actions& out);
+    void on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
+    void on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    void search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    void deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    void on_returned(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    void on_returned_opening(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    void lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
+              core::time_point now, actions& out);
+    void confirm(const flow_key& flow, ipv4 entry, actions& out);
+    void set_busy(flow_record& record, bool busy, core::time_point now) noexcept;
+    void set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept;
+    void note_host_answer(core::time_point now, actions& out);
+    void check_openings(core::time_point now, actions& out);
+    void report(core::time_point now, actions& out);
+    void sweep(core::time_point now);
+    [[nodiscard]] bool may_hold_unknown(core::time_point now) const noexcept;
+    [[nodiscard]] bool accepts() const noexcept;
+    std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, core::time_point now) const;
+    std::vector<ipv4> possible_holders(const known_route& route) const;
+
+    struct reported_load
+    {
+        host_load load;
+        core::time_point at;
+        std::uint32_t passed = 0;
+    };
+
+    agent_relay_options m_options;
+    const fleet_view& m_view;
+    flow_map m_flows;
+    std::deque<opening_record> m_openings;
+    std::unordered_map<std::uint32_t, reported_load> m_reports;
+    std::uint32_t m_in_flight = 0;
+    std::uint32_t m_open_flows = 0;
+    std::uint32_t m_opening_misses = 0;
+    bool m_suspected = false;
+    bool m_draining = false;
+    core::time_point m_next_probe;
+    core::time_point m_next_report;
+    core::time_point m_next_idle_report;
+    core::time_point m_next_sweep;
+    host_load m_reported;
+    std::deque<std::array<std::uint8_t, opening_packet_size>> m_sent_again;
+};
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/include/daisydoor/relay/entry_relay.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "daisydoor/relay/actions.hpp"
+#include "daisydoor/relay/fleet_view.hpp"
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace daisydoor::relay
+{
+
+/// Largest packet that opens a flow: a header without data.
+constexpr std::size_t opening_packet_size = 32;
+
+/// An agent in another availability zone confirms within two delays of about 5 ms and its own turn on the processor.
+constexpr core::milliseconds placement_timeout{60};
+/// Agents that did not confirm are tried last for this long; then one real flow probes them.
+constexpr core::milliseconds agent_avoid_time{1000};
+/// Placements in a row that an agent may leave unconfirmed before it is avoided; datagrams get lost.
+constexpr std::uint32_t agent_miss_limit = 2;
+
+/// @brief Decision core of a relaying entry: finds the agent for each packet of a client.
+///
+/// Keeps, as soft state, where it sent each flow. No sockets, clock or randomness.
+class entry_relay
+{
+  public:
+    /// @param self address of this process
+    entry_relay(ipv4 self, const fleet_view& view);
+
+    /// @brief A packet of a client. Complexity: constant, or linear in the service's hosts for an unknown flow; no
+    /// allocation for a known flow.
+    void on_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+
+    /// @brief A message of an agent.
+    void on_message(ipv4 from, const message& value, core::time_point now, actions& out);
+
+    /// @brief Places flows again whose agent did not confirm, and forgets idle flows.
+    void on_tick(core::time_point now, actions& out);
+
+    [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
+    [[nodiscard]] bool has_pending() const noexcept { return !m_pending.empty(); }
+
+  private:
+    struct flow_record
+    {
+        ipv4 agent{};
+        core::time_point touched;
+        bool confirmed = false;
+    };
+
+    /// A placement that no agent has confirmed yet.
+    struct pending_placement
+    {
+        flow_key flow;
+        std::array<std::uint8_t, opening_packet_size> bytes{};
+        std::vector<ipv4> tried;
+        core::time_point deadline;
+    };
+
+    struct agent_record
+    {
+        std::uint32_t misses = 0;
+        core::time_point avoid_until;
+    };
+
+    void open(const packet& value, wire::bytes_view bytes, const known_route& route, core::time_point now,
+              actions& out);
+    void place(pending_placement entry, const known_route& route, core::time_point now, actions& out);
+    void forward_unknown(const packet& value, wire::bytes_view bytes, const known_route& route, core::time_point now,
+                         actions& out);
+    void forward(flow_record& record, wire::bytes_view bytes, core::time_point now, actions& out);
+    void confirm(ipv4 agent, const flow_key& flow, core::time_point now);
+    void note_miss(ipv4 agent, const flow_key& flow, core::time_point now, actions& out);
+    [[nodiscard]] bool is_avoided(ipv4 agent, core::time_point now) const;
+    void forget_idle(core::time_point now);
+
+    ipv4 m_self;
+    const fleet_view& m_view;
+    std::unordered_map<flow_key, flow_record, flow_key_hash> m_flows;
+    std::deque<pending_placement> m_pending;
+    std::unordered_map<std::uint32_t, agent_record> m_agents;
+    core::time_point m_next_sweep;
+    /// Keeps the bytes of placements that the last call sent again.
+    std::deque<std::array<std::uint8_t, opening_packet_size>> m_sent_again;
+};
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/include/daisydoor/relay/fleet.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "daisydoor/core/time.hpp"
+#include "daisydoor/relay/packet.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace daisydoor::relay
+{
+
+/// @brief Position in the platform's history; grows with every change of any value.
+enum class revision : std::uint64_t
+{
+};
+
+/// @brief Version of the operator's routes; 0 means that none are held.
+enum class route_version : std::uint64_t
+{
+};
+
+enum class host_state : std::uint8_t
+{
+    ready,
+    draining,
+};
+constexpr std::array<std::string_view, 2> host_state_names{"ready", "draining"};
+
+/// @brief What a host publishes about itself.
+struct host
+{
+    std::string id;
+    std::string service;
+    std::string availability_zone;
+    /// Address that the host's agent shares.
+    ipv4 address{};
+    std::uint32_t slots = 0;
+    host_state state = host_state::ready;
+    /// Time for which a host that has just started is still slow.
+    core::milliseconds cold_remaining{0};
+    /// Start of this incarnation in Unix milliseconds.
+    std::int64_t born = 0;
+};
+
+struct weighted_service
+{
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
+enum class request_kind : std::uint8_t
+{
+    idempotent,
+    non_idempotent,
+    download,
+};
+constexpr std::array<std::string_view, 3> request_kind_names{"idempotent", "non_idempotent", "download"};
+
+/// @brief One published address and the services that may take its new flows.
+struct route
+{
+    ipv4 address{};
+    std::uint16_t port = 0;
+    request_kind kind = request_kind::idempotent;
+    core::milliseconds timeout{0};
+    core::milliseconds target_latency{0};
+    /// 0 is the most urgent.
+    std::uint32_t priority = 0;
+    std::vector<weighted_service> services;
+};
+
+/// @brief The operator's configuration of one version, in full.
+struct route_set
+{
+    route_version version{};
+    std::vector<route> routes;
+    /// Flows that are idle for longer may be forgotten.
+    core::milliseconds idle_timeout{0};
+};
+
+/// @brief A host's entry was removed, or holds nothing that names a host.
+struct host_removed
+{
+    std::string id;
+};
+
+/// @brief One change of the published state.
+struct fleet_change
+{
+    relay::revision revision{};
+    std::variant<host, host_removed, route_set> value;
+};
+
+/// @brief Part of the published state, as read from the platform or told by a peer.
+struct fleet_update
+{
+    /// State up to which the changes are complete.
+    relay::revision revision{};
+    /// Whether the changes are the whole state: hosts that they do not name are gone.
+    bool whole = false;
+    std::vector<fleet_change> changes;
+    /// Values that could not be decoded, with the reason; they change nothing else.
+    std::vector<std::string> rejected;
+};
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/include/daisydoor/relay/placement.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "daisydoor/relay/actions.hpp"
+#include "daisydoor/relay/fleet_view.hpp"
+
+#include <functional>
+#include <vector>
+
+/// @brief Where new flows go. Pure functions of what is known at the moment.
+namespace daisydoor::relay
+{
+
+/// @brief Chooses the host whose agent gets a flow first: by rendezvous among the usable hosts of the flow's service,
+/// those in the own availability zone before the others.
+///
+/// Load pattern: many flows open at once at entries that know no load. The hash spreads them evenly, entries agree
+/// without talking, and copies of one opening packet meet at one agent, which knows the load and may pass them on.
+/// @param is_excluded hosts that were tried already; never chosen
+/// @param is_avoided hosts that are chosen only if no other is left
+/// @return nullptr if no usable host is left
+const known_host* choose_host(const fleet_view& view, const known_route& route, std::uint64_t flow_hash,
+                              const std::function<bool(ipv4)>& is_excluded,
+                              const std::function<bool(ipv4)>& is_avoided);
+
+/// @brief Chooses the agent that is asked first for a flow that no table knows: rank 0 over all hosts that may hold it,
+/// whatever their state.
+/// @return nullptr if no host is known
+const known_host* choose_holder(const fleet_view& view, const known_route& route, std::uint64_t flow_hash,
+                                const std::function<bool(ipv4)>& is_avoided);
+
+/// @brief Load of a peer as last reported.
+struct peer_load
+{
+    ipv4 agent{};
+    host_load load;
+    bool in_own_zone = false;
+    /// Flows passed to the peer since its report.
+    std::uint32_t passed = 0;
+};
+
+/// @brief Expected wait at a host, in units of its slots: 1 means that all slots are busy.
+double pressure_of(const host_load& load, std::uint32_t passed) noexcept;
+
+/// @brief Decides whether an agent passes a new flow on.
+///
+/// Load pattern: bursts, and long flows that pin work to one host, leave hosts of one service unequally busy while the
+/// entries keep spreading new flows evenly. A flow is passed on only to a peer that is less busy by a margin, which is
+/// larger across availability zones, so that equal hosts do not trade flows.
+/// @return the peer, or nullptr to keep the flow
+const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers) noexcept;
+
+} // namespace daisydoor::relay
--- a/include/daisydoor/runtime/daemon.hpp
+++ b/include/daisydoor/runtime/daemon.hpp
@@ -26,4 +26,10 @@
 /// @throws runtime_error if a socket cannot be bound or the event loop fails.
 int run_daemon(const settings& values);
 
+/// @brief Runs a relaying process until SIGINT or the end of the drain that SIGTERM starts.
+/// @param file settings file, read again on SIGHUP
+/// @returns exit code
+/// @throws runtime_error if a socket cannot be bound or the event loop fails.
+int run_relay_daemon(const relay_settings& values, const std::string& file);
+
 } // namespace daisydoor::runtime
--- a/include/daisydoor/runtime/detail/admin_task.hpp
+++ b/include/daisydoor/runtime/detail/admin_task.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daisydoor/runtime/detail/http_server.hpp"
 #include "daisydoor/runtime/detail/metrics.hpp"
 #include "daisydoor/runtime/events.hpp"
 #include "daisydoor/runtime/kernel.hpp"
@@ -9,9 +10,6 @@
 #include <map>
 #include <memory>
 
-struct evhtp;
-struct evhtp_request;
-
 namespace daisydoor::runtime::detail
 {
 
@@ -26,24 +24,16 @@
     void start() override;
 
   private:
-    struct server_deleter
-    {
-        void operator()(evhtp* value) const noexcept;
-    };
-
-    static void on_request(evhtp_request* request, void* self);
-    void answer(evhtp_request* request);
+    http_reply answer(const std::string& path, const char* service);
     std::string dump(const char* service);
     std::string metrics_text();
     std::map<std::string, collect_values> collect();
-    void reject(evhtp_request* request, int status, const char* path);
 
     kernel& m_kernel;
     settings m_settings;
     core::time_point m_started_at;
-    std::unique_ptr<evhtp, server_deleter> m_server;
+    http_server m_server;
     metrics m_metrics;
-    rate_limit m_reject_log{log_period};
     std::map<std::string, port<collect_values>> m_tasks;
     port<collect_state> m_state;
 };
--- /dev/null
+++ b/include/daisydoor/runtime/detail/http_server.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "daisydoor/core/endpoint.hpp"
+#include "daisydoor/runtime/events.hpp"
+#include "daisydoor/runtime/kernel.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+struct evhtp;
+struct evhtp_request;
+
+namespace daisydoor::runtime::detail
+{
+
+struct http_reply
+{
+    int status = 200;
+    const char* type = "text/plain";
+    std::string body;
+};
+
+/// @brief HTTP server for GET requests without a body.
+class http_server
+{
+  public:
+    /// @brief Answers a path; `query` returns the value of a query field, or nullptr.
+    using handler =
+        std::function<http_reply(const std::string& path, const std::function<const char*(const char*)>& query)>;
+
+    /// @throws runtime_error with errc::admin_failed if the address cannot be bound.
+    http_server(kernel& owner, const core::endpoint& listen, handler answer);
+    ~http_server();
+
+  private:
+    struct server_deleter
+    {
+        void operator()(evhtp* value) const noexcept;
+    };
+
+    static void on_request(evhtp_request* request, void* self);
+    void answer(evhtp_request* request);
+
+    handler m_answer;
+    std::unique_ptr<evhtp, server_deleter> m_server;
+    rate_limit m_reject_log{log_period};
+};
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "daisydoor/relay/agent_relay.hpp"
+#include "daisydoor/relay/entry_relay.hpp"
+#include "daisydoor/runtime/detail/http_server.hpp"
+#include "daisydoor/runtime/detail/log_output.hpp"
+#include "daisydoor/runtime/detail/metrics.hpp"
+#include "daisydoor/runtime/detail/packet_socket.hpp"
+#include "daisydoor/runtime/detail/store_task.hpp"
+#include "daisydoor/runtime/settings.hpp"
+
+#include <array>
+#include <memory>
+#include <optional>
+
+namespace daisydoor::runtime::detail
+{
+
+/// @brief Owner of the sockets, the fleet view and the decision core of a relaying process.
+class relay_task : public task
+{
+  public:
+    /// @throws runtime_error if an address cannot be bound.
+    relay_task(kernel& owner, const relay_settings& values, store_task& store, const log_output& log);
+    ~relay_task() override;
+
+    void start() override;
+
+    /// @brief SIGTERM: takes no new flows, carries the open ones for a while, then ends the process.
+    void start_drain();
+
+  private:
+    void on_client_packet(wire::bytes_view bytes, relay::ipv4 from);
+    void on_host_packet(wire::bytes_view bytes);
+    void on_message(wire::bytes_view bytes, relay::ipv4 from);
+    void on_news(fleet_news& news);
+    void on_tick();
+    void check_pause(core::time_point now);
+    /// @brief Performs the actions of the core. Their bytes are copied or stay valid until flush().
+    void execute();
+    /// @brief Sends what is queued; called at the end of each received batch.
+    void flush();
+    void perform(const relay::send_to_agent& value);
+    void perform(const relay::send_to_host& value);
+    void perform(const relay::send_to_client& value);
+    void perform(const relay::reset_client& value);
+    void perform(const relay::send_message& value);
+    void perform(const relay::decision_record& value);
+    http_reply answer(const std::string& path);
+    [[nodiscard]] bool is_ready() const;
+    std::string metrics_text();
+    std::string dump() const;
+
+    kernel& m_kernel;
+    relay_settings m_settings;
+    store_task& m_store;
+    const log_output& m_log;
+    relay::ipv4 m_self;
+    relay::ipv4 m_host{};
+    relay::fleet_view m_view;
+    std::unique_ptr<relay::entry_relay> m_entry;
+    std::unique_ptr<relay::agent_relay> m_agent;
+    packet_socket m_packets;
+    packet_socket m_messages;
+    /// Only at an agent: packets from and to the host.
+    std::unique_ptr<packet_socket> m_host_packets;
+    io_event m_tick;
+    http_server m_admin;
+    relay::actions m_actions;
+    std::array<std::uint64_t, relay::decision_names.size()> m_decisions{};
+    std::uint64_t m_resets = 0;
+    std::uint64_t m_bad_messages = 0;
+    metrics m_metrics;
+    core::time_point m_last_tick;
+    core::duration m_suspended{};
+    std::optional<core::time_point> m_drain_started;
+    core::time_point m_last_packet;
+    /// Bounds the decision lines: a burst is logged in part, and the rest is counted.
+    double m_log_tokens = 0;
+    core::time_point m_log_refilled;
+    std::uint64_t m_log_suppressed = 0;
+};
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/include/daisydoor/runtime/detail/store_task.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "daisydoor/relay/store_reader.hpp"
+#include "daisydoor/runtime/detail/http_client.hpp"
+#include "daisydoor/runtime/detail/io_event.hpp"
+#include "daisydoor/runtime/events.hpp"
+#include "daisydoor/runtime/messages.hpp"
+
+#include <optional>
+
+namespace daisydoor::runtime::detail
+{
+
+/// @brief role: the published state changed, or the platform was lost or regained.
+struct fleet_news
+{
+    std::optional<relay::fleet_update> update;
+    bool regained = false;
+};
+
+struct store_counters
+{
+    std::uint64_t calls = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t rejected_values = 0;
+};
+
+/// @brief The one client of the users' platform: makes the calls that relay::store_reader decides.
+class store_task : public task
+{
+  public:
+    store_task(kernel& owner, const core::endpoint& platform);
+
+    void start() override;
+
+    /// @brief The process was paused: reads again at once instead of waiting for an answer that may never come.
+    void on_pause();
+
+  private:
+    void pump();
+    void call(const relay::store_request& request);
+    void on_answer(relay::store_call call, const http_answer& answer);
+    void on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure);
+    void collect(collect_values& message) const;
+
+    kernel& m_kernel;
+    http_client m_client;
+    relay::store_reader m_reader;
+    io_event m_timer;
+    std::uint64_t m_exchange = 0;
+    store_counters m_counters;
+    port<fleet_news> m_role;
+    rate_limit m_reject_log{log_period};
+};
+
+} // namespace daisydoor::runtime::detail
--- a/include/daisydoor/runtime/events.hpp
+++ b/include/daisydoor/runtime/events.hpp
@@ -43,6 +43,12 @@
     target_draining,
     pause_detected,
     admin_bad_request,
+    published_value_rejected,
+    routes_accepted,
+    hosts_changed,
+    flow_decision,
+    settings_reloaded,
+    settings_rejected,
 };
 
 struct log_event_info
@@ -54,7 +60,7 @@
 };
 
 /// @brief Table of all log events; docs/events.md lists the same numbers, severities and texts.
-constexpr std::array<log_event_info, 24> log_events{{
+constexpr std::array<log_event_info, 30> log_events{{
     {1001, severity::info, "process started"},
     {1002, severity::info, "process stopped"},
     {1003, severity::info, "drain started"},
@@ -79,6 +85,12 @@
     {1503, severity::info, "target reports that it drains"},
     {1601, severity::warning, "process was paused"},
     {1701, severity::warning, "admin request rejected"},
+    {1104, severity::warning, "published value skipped"},
+    {1105, severity::info, "routes accepted"},
+    {1106, severity::info, "hosts changed"},
+    {1403, severity::info, "flow decision"},
+    {1007, severity::info, "settings reloaded"},
+    {1008, severity::error, "changed settings rejected, the former ones stay in force"},
 }};
 
 constexpr const log_event_info& info_of(log_event value) { return log_events.at(static_cast<std::size_t>(value)); }
--- a/include/daisydoor/runtime/settings.hpp
+++ b/include/daisydoor/runtime/settings.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace daisydoor::runtime
@@ -94,13 +95,62 @@
     std::optional<agent_settings> agent;
 };
 
-/// @brief Parses settings.
+enum class relay_role
+{
+    relay_entry,
+    relay_agent,
+};
+constexpr std::array<std::string_view, 2> relay_role_names{"relay_entry", "relay_agent"};
+
+struct relay_agent_settings
+{
+    /// Name of the host's service.
+    std::string service;
+    /// Where the host takes packets.
+    core::endpoint host;
+    /// Where the host sends all its packets.
+    core::endpoint outbound;
+};
+
+/// @brief Settings of a process that relays packet flows on the users' platform.
+struct relay_settings
+{
+    relay_role role = relay_role::relay_entry;
+    /// Name of the instance, for the log.
+    std::string name;
+    std::string zone;
+    /// Where packets arrive; the port is the same on all instances and clients.
+    core::endpoint packets;
+    /// Readiness, metrics and dump.
+    core::endpoint admin;
+    /// Port for messages between relaying processes, the same on all instances.
+    std::uint16_t peer_port = 0;
+    core::endpoint platform;
+    std::vector<core::endpoint> seeds;
+    /// Whether the whole system starts for the first time, so that no flow is older than the process.
+    bool first_start = false;
+    core::seconds flow_ttl{60};
+    /// Time after SIGTERM in which the process may still work.
+    core::seconds grace{6};
+    runtime::log_level log_level = log_level::info;
+    /// Set exactly for the role `relay_agent`.
+    std::optional<relay_agent_settings> agent;
+};
+
+using any_settings = std::variant<settings, relay_settings>;
+
+/// @brief Parses settings of the roles `entry` and `agent`.
 /// @param file name for error messages
 /// @throws settings_error with all problems of the text.
 settings parse_settings(const std::string& text, const std::string& file);
 
-/// @brief Reads and parses a settings file.
+/// @brief Parses settings of the roles `relay_entry` and `relay_agent`.
+/// @param file name for error messages
+/// @throws settings_error with all problems of the text.
+relay_settings parse_relay_settings(const std::string& text, const std::string& file);
+
+/// @brief Reads and parses a settings file of any role.
 /// @throws settings_error with all problems of the file.
-settings load_settings(const std::string& file);
+any_settings load_settings(const std::string& file);
 
 } // namespace daisydoor::runtime
--- a/src/entry/routing_table.cpp
+++ b/src/entry/routing_table.cpp
@@ -4,9 +4,10 @@
 #include "routing_table.hpp"
 
 #include "daisydoor/core/limits.hpp"
+#include "daisydoor/core/rendezvous.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <numeric>
 #include <optional>
 #include <xxhash.h>
@@ -17,15 +18,6 @@
 namespace
 {
 
-/// @brief Exponentially distributed value for a pair of flow and host; the smallest of them wins the rendezvous.
-double exponential(std::uint64_t flow_hash, core::host_id host) noexcept
-{
-    const auto id = core::raw(host);
-    const std::uint64_t hash = XXH3_64bits_withSeed(&id, sizeof id, flow_hash);
-    constexpr double scale = 1.0 / static_cast<double>(std::uint64_t{1} << 53U);
-    return -std::log((static_cast<double>(hash >> 11U) + 0.5) * scale);
-}
-
 /// @brief Hosts of a fleet view that are live, sorted by id.
 std::vector<core::host_id> live_hosts(const config::fleet_view& view)
 {
@@ -186,7 +178,8 @@
     m_scratch.clear();
     const auto* first = m_targets.data() + service.first;
     for (const auto* it = first; it != first + service.count; ++it) {
-        m_scratch.push_back({it->group, exponential(flow_hash, it->id) * it->inverse_weight, it});
+        m_scratch.push_back(
+            {it->group, core::rendezvous_distance(flow_hash, core::raw(it->id)) * it->inverse_weight, it});
     }
     const std::ptrdiff_t rank = attempt % service.count;
     std::nth_element(m_scratch.begin(), m_scratch.begin() + rank, m_scratch.end());
--- /dev/null
+++ b/src/relay/agent_relay.cpp
@@ -0,0 +1,557 @@
+#include "daisydoor/relay/agent_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+constexpr core::milliseconds sweep_interval{500};
+/// Used until the configuration names an idle timeout.
+constexpr core::milliseconds default_idle_timeout{15'000};
+/// Both ends retransmit their last packets for up to 1.6 s.
+constexpr core::milliseconds closed_flow_time{3000};
+/// Work of a client that gave up without a word counts no longer; no route's timeout is longer than this.
+constexpr core::milliseconds default_busy_limit{5000};
+/// A host returns a packet of a foreign flow at once; after this time it holds the flow.
+constexpr core::milliseconds probing_time{200};
+
+/// Whether a 32-bit sequence number is after another one.
+bool is_after(std::uint32_t a, std::uint32_t b) noexcept { return static_cast<std::int32_t>(a - b) > 0; }
+
+} // namespace
+
+agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
+    : m_options(std::move(options)), m_view(view)
+{
+}
+
+void agent_relay::on_packet(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
+{
+    m_sent_again.clear();
+    if (!m_view.is_ready()) {
+        return;
+    }
+    if (value.path == packet_path::search) {
+        on_search(value, bytes, from, now, out);
+        return;
+    }
+    const auto it = m_flows.find(value.flow);
+    if (value.syn) {
+        if (it != m_flows.end() && it->second.phase != flow_phase::lost) {
+            open_again(it->second, value, bytes, now, out);
+        } else {
+            open(value, bytes, now, out);
+        }
+        return;
+    }
+    if (it == m_flows.end()) {
+        on_unknown(value, bytes, now, out);
+        return;
+    }
+    auto& record = it->second;
+    switch (record.phase) {
+    case flow_phase::opening:
+    case flow_phase::held:
+    case flow_phase::probing:
+        record.entry = value.entry;
+        deliver(record, value, bytes, now, out);
+        break;
+    case flow_phase::elsewhere:
+        record.touched = now;
+        if (value.hops < max_hops) {
+            out.push_back(send_to_agent{record.peer, bytes, value.entry, static_cast<std::uint8_t>(value.hops + 1),
+                                        packet_path::direct});
+        }
+        break;
+    case flow_phase::searching:
+        if (now - record.phase_since >= search_timeout) {
+            search(record, value, bytes, now, out);
+        }
+        break;
+    case flow_phase::lost:
+        out.push_back(reset_client{value.flow, value.acknowledgement});
+        break;
+    }
+}
+
+void agent_relay::open(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
+    const auto own = m_view.find_service(m_options.service);
+    if (route == nullptr || bytes.size != opening_packet_size) {
+        // The entry may know a newer version; it tries another agent if this one does not confirm.
+        return;
+    }
+    const auto peers = usable_peers(*route, value.flow, now);
+    const bool is_allowed = own && route->allows(*own);
+    auto load = this->load();
+    load.accepts = load.accepts && is_allowed;
+    const auto* peer = value.hops < max_hops ? choose_less_busy(load, peers) : nullptr;
+    if (peer != nullptr) {
+        pass_on(value.flow, bytes, value.entry, value.hops, peer, load.accepts ? "less_busy" : "own_host_closed", now,
+                out);
+        if (!is_allowed || m_draining || !m_suspected || now < m_next_probe) {
+            return;
+        }
+        // A copy of a real opening packet probes a host that did not answer; the client takes the first answer.
+        m_next_probe = now + probe_interval;
+        out.push_back(send_to_host{bytes, value.entry});
+        return;
+    }
+    if (load.accepts || (is_allowed && m_suspected && !m_draining)) {
+        give_to_host(value.flow, bytes, value.entry, value.hops, now, out);
+        return;
+    }
+    out.push_back(reset_client{value.flow, 0});
+    out.push_back(decision_record{decision::refused, value.flow, {}, value.hops, load, "no_host_accepts"});
+}
+
+void agent_relay::open_again(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                             actions& out)
+{
+    record.touched = now;
+    if (record.phase == flow_phase::elsewhere) {
+        if (value.hops < max_hops) {
+            out.push_back(send_to_agent{record.peer, bytes, value.entry, static_cast<std::uint8_t>(value.hops + 1),
+                                        packet_path::direct});
+        }
+        return;
+    }
+    out.push_back(send_to_host{bytes, value.entry});
+    if (record.phase == flow_phase::held) {
+        confirm(value.flow, value.entry, out);
+    }
+}
+
+void agent_relay::give_to_host(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops,
+                               core::time_point now, actions& out)
+{
+    auto& record = m_flows[flow];
+    set_phase(record, flow_phase::opening, now);
+    record.entry = entry;
+    record.touched = now;
+    // The client sends its request as soon as the flow is open.
+    set_busy(record, true, now);
+    opening_record opening;
+    opening.flow = flow;
+    std::copy_n(bytes.data, opening_packet_size, opening.bytes.begin());
+    opening.entry = entry;
+    opening.hops = hops;
+    opening.deadline = now + opening_timeout;
+    m_openings.push_back(opening);
+    out.push_back(send_to_host{bytes, entry});
+}
+
+bool agent_relay::pass_on(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops,
+                          const peer_load* peer, std::string_view reason, core::time_point now, actions& out)
+{
+    if (peer == nullptr) {
+        return false;
+    }
+    auto& record = m_flows[flow];
+    set_busy(record, false, now);
+    set_phase(record, flow_phase::elsewhere, now);
+    record.peer = peer->agent;
+    record.entry = entry;
+    record.touched = now;
+    ++m_reports[static_cast<std::uint32_t>(peer->agent)].passed;
+    const auto next_hops = static_cast<std::uint8_t>(hops + 1);
+    out.push_back(send_to_agent{peer->agent, bytes, entry, next_hops, packet_path::direct});
+    out.push_back(decision_record{decision::redirected, flow, peer->agent, next_hops, peer->load, reason});
+    return true;
+}
+
+void agent_relay::deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                          actions& out)
+{
+    record.touched = now;
+    const std::uint32_t end = value.sequence + value.payload_size;
+    if (value.payload_size > 0 && (record.client_sequence == 0 || is_after(end, record.client_sequence))) {
+        record.client_sequence = end;
+        set_busy(record, true, now);
+    }
+    record.client_fin = record.client_fin || value.fin;
+    out.push_back(send_to_host{bytes, value.entry});
+    if (value.hops > 0 && record.phase == flow_phase::held) {
+        confirm(value.flow, value.entry, out);
+    }
+}
+
+void agent_relay::on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    auto& record = m_flows[value.flow];
+    record.entry = value.entry;
+    record.touched = now;
+    if (may_hold_unknown(now)) {
+        set_phase(record, flow_phase::probing, now);
+        out.push_back(send_to_host{bytes, value.entry});
+        return;
+    }
+    search(record, value, bytes, now, out);
+}
+
+void agent_relay::search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                         actions& out)
+{
+    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
+    record.asked = route != nullptr ? possible_holders(*route) : std::vector<ipv4>();
+    set_phase(record, flow_phase::searching, now);
+    out.push_back(decision_record{decision::search_started, value.flow, {}, 0, {}, ""});
+    if (record.asked.empty()) {
+        lose(record, value.flow, value.acknowledgement, "no_peer", now, out);
+        return;
+    }
+    for (const auto peer : record.asked) {
+        out.push_back(send_to_agent{peer, bytes, value.entry, 1, packet_path::search});
+    }
+    // Kept for the reset if nobody holds the flow.
+    record.client_sequence = value.acknowledgement;
+}
+
+void agent_relay::on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
+{
+    const auto it = m_flows.find(value.flow);
+    if (it != m_flows.end() && (it->second.phase == flow_phase::held || it->second.phase == flow_phase::opening)) {
+        it->second.entry = value.entry;
+        deliver(it->second, value, bytes, now, out);
+        confirm(value.flow, value.entry, out);
+        confirm(value.flow, from, out);
+        return;
+    }
+    const bool may_try = may_hold_unknown(now) && (it == m_flows.end() || it->second.phase == flow_phase::probing);
+    if (!may_try) {
+        out.push_back(send_message{from, flow_unknown{value.flow}});
+        return;
+    }
+    auto& record = m_flows[value.flow];
+    set_phase(record, flow_phase::probing, now);
+    record.entry = value.entry;
+    record.peer = from;
+    record.touched = now;
+    out.push_back(send_to_host{bytes, value.entry});
+}
+
+void agent_relay::on_host_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    m_sent_again.clear();
+    note_host_answer(now, out);
+    if (value.bounced) {
+        on_returned(value, bytes, now, out);
+        return;
+    }
+    out.push_back(send_to_client{value.flow.client, bytes});
+    const auto [it, added] = m_flows.try_emplace(value.flow);
+    auto& record = it->second;
+    record.touched = now;
+    const bool was_held = !added && record.phase == flow_phase::held;
+    if (!was_held) {
+        const ipv4 searcher = !added && record.phase == flow_phase::probing ? record.peer : ipv4{};
+        set_phase(record, flow_phase::held, now);
+        if (record.entry != ipv4{}) {
+            confirm(value.flow, record.entry, out);
+        }
+        if (searcher != ipv4{}) {
+            confirm(value.flow, searcher, out);
+        }
+        out.push_back(decision_record{decision::opened, value.flow, {}, 0, load(), value.syn ? "accepted" : "known"});
+    }
+    if (value.payload_size > 0 || value.fin || value.rst) {
+        set_busy(record, false, now);
+    }
+    record.host_fin = record.host_fin || value.fin || value.rst;
+    record.client_fin = record.client_fin || value.rst;
+}
+
+void agent_relay::on_returned(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    if (value.syn) {
+        on_returned_opening(value, bytes, now, out);
+        return;
+    }
+    const auto it = m_flows.find(value.flow);
+    if (it == m_flows.end()) {
+        return;
+    }
+    auto& record = it->second;
+    if (record.phase == flow_phase::probing && record.peer != ipv4{}) {
+        out.push_back(send_message{record.peer, flow_unknown{value.flow}});
+        m_flows.erase(it);
+    } else if (record.phase == flow_phase::probing) {
+        search(record, value, bytes, now, out);
+    } else if (record.phase == flow_phase::held || record.phase == flow_phase::opening) {
+        // Only a host that has started again returns a flow that it held.
+        lose(record, value.flow, value.acknowledgement, "host_restarted", now, out);
+    }
+}
+
+void agent_relay::on_returned_opening(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    const auto it =
+        std::find_if(m_openings.begin(), m_openings.end(), [&](const auto& entry) { return entry.flow == value.flow; });
+    if (it == m_openings.end()) {
+        return;
+    }
+    const auto opening = *it;
+    m_openings.erase(it);
+    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
+    const auto peers = route != nullptr ? usable_peers(*route, value.flow, now) : std::vector<peer_load>();
+    host_load closed = load();
+    closed.accepts = false;
+    const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers) : nullptr;
+    if (!pass_on(value.flow, bytes, opening.entry, opening.hops, peer, "host_returned", now, out)) {
+        set_busy(m_flows[value.flow], false, now);
+        m_flows.erase(value.flow);
+        out.push_back(reset_client{value.flow, 0});
+        out.push_back(decision_record{decision::refused, value.flow, {}, opening.hops, load(), "host_returned"});
+    }
+}
+
+void agent_relay::lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
+                       core::time_point now, actions& out)
+{
+    set_busy(record, false, now);
+    set_phase(record, flow_phase::lost, now);
+    record.touched = now;
+    out.push_back(reset_client{flow, sequence});
+    out.push_back(decision_record{decision::flow_lost, flow, {}, 0, load(), reason});
+}
+
+void agent_relay::on_message(ipv4 from, const message& value, core::time_point now, actions& out)
+{
+    if (const auto* load = std::get_if<host_load>(&value)) {
+        m_reports[static_cast<std::uint32_t>(from)] = {*load, now, 0};
+    } else if (const auto* found = std::get_if<flow_found>(&value)) {
+        auto& record = m_flows[found->flow];
+        if (record.phase != flow_phase::held) {
+            set_busy(record, false, now);
+            set_phase(record, flow_phase::elsewhere, now);
+            record.peer = from;
+            record.touched = now;
+        }
+    } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
+        const auto it = m_flows.find(unknown->flow);
+        if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
+            return;
+        }
+        auto& asked = it->second.asked;
+        asked.erase(std::remove(asked.begin(), asked.end(), from), asked.end());
+        if (asked.empty()) {
+            lose(it->second, unknown->flow, it->second.client_sequence, "held_nowhere", now, out);
+        }
+    }
+}
+
+void agent_relay::on_host_gone(core::time_point now, actions& out)
+{
+    for (auto& [flow, record] : m_flows) {
+        if (record.phase == flow_phase::held) {
+            set_busy(record, false, now);
+            set_phase(record, flow_phase::lost, now);
+            record.touched = now;
+        }
+    }
+    out.push_back(decision_record{decision::flow_lost, {}, m_options.self, 0, load(), "host_process_gone"});
+}
+
+void agent_relay::on_tick(core::time_point now, actions& out)
+{
+    m_sent_again.clear();
+    check_openings(now, out);
+    report(now, out);
+    if (now >= m_next_sweep) {
+        m_next_sweep = now + sweep_interval;
+        sweep(now);
+    }
+}
+
+void agent_relay::check_openings(core::time_point now, actions& out)
+{
+    while (!m_openings.empty() && m_openings.front().deadline <= now) {
+        const auto opening = m_openings.front();
+        m_openings.pop_front();
+        const auto it = m_flows.find(opening.flow);
+        if (it == m_flows.end() || it->second.phase != flow_phase::opening) {
+            continue;
+        }
+        if (++m_opening_misses >= opening_miss_limit && !m_suspected) {
+            m_suspected = true;
+            m_next_probe = now + probe_interval;
+            out.push_back(decision_record{decision::host_suspected, opening.flow, m_options.self, 0, load(),
+                                          "openings_unanswered"});
+        }
+        const auto* route = m_view.find_route(opening.flow.service, opening.flow.service_port);
+        const auto peers = route != nullptr ? usable_peers(*route, opening.flow, now) : std::vector<peer_load>();
+        host_load closed = load();
+        closed.accepts = false;
+        const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers) : nullptr;
+        m_sent_again.push_back(opening.bytes);
+        const wire::bytes_view bytes{m_sent_again.back().data(), opening_packet_size};
+        if (!pass_on(opening.flow, bytes, opening.entry, opening.hops, peer, "host_unanswered", now, out)) {
+            set_busy(it->second, false, now);
+            m_flows.erase(it);
+            out.push_back(
+                decision_record{decision::unanswered, opening.flow, {}, opening.hops, load(), "no_peer_accepts"});
+        }
+    }
+}
+
+void agent_relay::note_host_answer(core::time_point now, actions& out)
+{
+    m_opening_misses = 0;
+    if (m_suspected) {
+        m_suspected = false;
+        m_next_report = now;
+        out.push_back(decision_record{decision::host_answers, {}, m_options.self, 0, load(), ""});
+    }
+}
+
+void agent_relay::report(core::time_point now, actions& out)
+{
+    const auto current = load();
+    const bool is_changed = current.in_flight != m_reported.in_flight || current.open_flows != m_reported.open_flows ||
+                            current.accepts != m_reported.accepts;
+    if (now < m_next_report || (!is_changed && now < m_next_idle_report)) {
+        return;
+    }
+    m_next_report = now + report_interval;
+    m_next_idle_report = now + idle_report_interval;
+    m_reported = current;
+    const auto own = m_view.find_service(m_options.service);
+    if (!own) {
+        return;
+    }
+    for (const auto* it : m_view.hosts_of(*own)) {
+        if (it->value.address != m_options.self) {
+            out.push_back(send_message{it->value.address, current});
+        }
+    }
+}
+
+void agent_relay::sweep(core::time_point now)
+{
+    const auto idle = m_view.idle_timeout().count() > 0 ? m_view.idle_timeout() : default_idle_timeout;
+    for (auto it = m_flows.begin(); it != m_flows.end();) {
+        auto& record = it->second;
+        const auto age = now - record.touched;
+        if (record.busy && now - record.busy_since > default_busy_limit) {
+            set_busy(record, false, now);
+        }
+        if (record.phase == flow_phase::probing && now - record.phase_since > probing_time && !m_suspected) {
+            set_phase(record, flow_phase::held, now);
+        }
+        const bool is_closed = record.client_fin && record.host_fin && age > closed_flow_time;
+        const bool is_lost = record.phase == flow_phase::lost && age > lost_flow_time;
+        const bool is_stuck = record.phase == flow_phase::opening && age > closed_flow_time;
+        if (is_closed || is_lost || is_stuck || age > idle) {
+            set_busy(record, false, now);
+            set_phase(record, flow_phase::lost, now);
+            it = m_flows.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void agent_relay::confirm(const flow_key& flow, ipv4 entry, actions& out)
+{
+    if (entry != ipv4{}) {
+        out.push_back(send_message{entry, flow_found{flow, load()}});
+    }
+}
+
+void agent_relay::set_busy(flow_record& record, bool busy, core::time_point now) noexcept
+{
+    if (record.busy != busy) {
+        record.busy = busy;
+        m_in_flight += busy ? 1 : -1;
+    }
+    if (busy) {
+        record.busy_since = now;
+    }
+}
+
+void agent_relay::set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept
+{
+    const bool was_held = record.phase == flow_phase::held;
+    const bool is_held = phase == flow_phase::held;
+    if (was_held != is_held) {
+        m_open_flows += is_held ? 1 : -1;
+    }
+    record.phase = phase;
+    record.phase_since = now;
+}
+
+host_load agent_relay::load() const noexcept
+{
+    const auto* own = m_view.find_host(m_options.self);
+    return {m_in_flight, m_open_flows, own != nullptr ? own->value.slots : 1, accepts()};
+}
+
+bool agent_relay::accepts() const noexcept
+{
+    const auto* own = m_view.find_host(m_options.self);
+    return !m_draining && !m_suspected && own != nullptr && own->is_usable();
+}
+
+bool agent_relay::may_hold_unknown(core::time_point now) const noexcept
+{
+    return m_options.may_hold_earlier_flows && now - m_options.started_at < m_options.flow_ttl;
+}
+
+std::vector<peer_load> agent_relay::usable_peers(const known_route& route, const flow_key& flow,
+                                                 core::time_point now) const
+{
+    std::vector<peer_load> result;
+    const auto add = [&](service_index service) {
+        for (const auto* it : m_view.hosts_of(service)) {
+            const auto address = it->value.address;
+            if (!it->is_usable() || address == m_options.self) {
+                continue;
+            }
+            peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0};
+            // A peer that never reported may have just started, or serve another service of the route.
+            if (const auto found = m_reports.find(static_cast<std::uint32_t>(address)); found != m_reports.end()) {
+                entry.load = found->second.load;
+                entry.passed = found->second.passed;
+                entry.load.accepts = entry.load.accepts && now - found->second.at < peer_report_timeout;
+            }
+            result.push_back(entry);
+        }
+    };
+    // The weights of the route hold as long as its chosen service has a host.
+    const auto chosen = fleet_view::choose_service(route, hash_of(flow));
+    add(chosen);
+    if (result.empty()) {
+        for (const auto& choice : route.services) {
+            if (choice.weight > 0 && choice.service != chosen) {
+                add(choice.service);
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<ipv4> agent_relay::possible_holders(const known_route& route) const
+{
+    std::vector<ipv4> result;
+    const auto add = [&](service_index service) {
+        for (const auto* it : m_view.hosts_of(service)) {
+            if (it->value.address != m_options.self) {
+                result.push_back(it->value.address);
+            }
+        }
+    };
+    for (const auto& choice : route.services) {
+        add(choice.service);
+    }
+    std::for_each(route.former.begin(), route.former.end(), add);
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/src/relay/entry_relay.cpp
@@ -0,0 +1,185 @@
+#include "daisydoor/relay/entry_relay.hpp"
+
+#include "daisydoor/relay/placement.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+/// Flows are swept this often; a flow that is kept a little too long costs only its memory.
+constexpr core::milliseconds sweep_interval{1000};
+/// Used until the configuration names an idle timeout.
+constexpr core::milliseconds default_idle_timeout{15'000};
+
+} // namespace
+
+entry_relay::entry_relay(ipv4 self, const fleet_view& view) : m_self(self), m_view(view) {}
+
+void entry_relay::on_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    m_sent_again.clear();
+    if (!m_view.is_ready()) {
+        return;
+    }
+    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
+    if (route == nullptr) {
+        // A route that this process does not know yet may have open flows; only a dropped one ends them.
+        if (value.syn || m_view.is_dropped_route(value.flow.service, value.flow.service_port)) {
+            m_flows.erase(value.flow);
+            out.push_back(reset_client{value.flow, value.syn ? 0 : value.acknowledgement});
+            out.push_back(
+                decision_record{decision::route_unknown, value.flow, {}, 0, {}, value.syn ? "open" : "dropped"});
+        }
+        return;
+    }
+    if (value.syn) {
+        open(value, bytes, *route, now, out);
+        return;
+    }
+    if (const auto it = m_flows.find(value.flow); it != m_flows.end()) {
+        forward(it->second, bytes, now, out);
+        if (m_view.find_host(it->second.agent) != nullptr) {
+            return;
+        }
+        // The host is gone from the view: ask the others, since the flow may have been found elsewhere.
+        m_flows.erase(it);
+    }
+    forward_unknown(value, bytes, *route, now, out);
+}
+
+void entry_relay::forward(flow_record& record, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    record.touched = now;
+    out.push_back(send_to_agent{record.agent, bytes, m_self, 0, packet_path::direct});
+}
+
+void entry_relay::open(const packet& value, wire::bytes_view bytes, const known_route& route, core::time_point now,
+                       actions& out)
+{
+    if (const auto it = m_flows.find(value.flow); it != m_flows.end() && it->second.confirmed) {
+        // A copy: the agent has the flow already.
+        forward(it->second, bytes, now, out);
+        return;
+    }
+    if (bytes.size != opening_packet_size) {
+        return;
+    }
+    const auto is_same = [&value](const pending_placement& it) { return it.flow == value.flow; };
+    if (std::any_of(m_pending.begin(), m_pending.end(), is_same)) {
+        return;
+    }
+    pending_placement entry;
+    entry.flow = value.flow;
+    std::copy_n(bytes.data, opening_packet_size, entry.bytes.begin());
+    place(std::move(entry), route, now, out);
+}
+
+void entry_relay::place(pending_placement entry, const known_route& route, core::time_point now, actions& out)
+{
+    const auto is_tried = [&entry](ipv4 agent) {
+        return std::find(entry.tried.begin(), entry.tried.end(), agent) != entry.tried.end();
+    };
+    const auto* chosen = choose_host(m_view, route, hash_of(entry.flow), is_tried,
+                                     [this, now](ipv4 agent) { return is_avoided(agent, now); });
+    if (chosen == nullptr) {
+        m_flows.erase(entry.flow);
+        if (!entry.tried.empty()) {
+            // The agents may only be slow: the client's next copy starts over.
+            out.push_back(
+                decision_record{decision::unanswered, entry.flow, entry.tried.back(), 0, {}, "no_agent_left"});
+            return;
+        }
+        out.push_back(reset_client{entry.flow, 0});
+        out.push_back(decision_record{decision::refused, entry.flow, {}, 0, {}, "no_host"});
+        return;
+    }
+    const auto agent = chosen->value.address;
+    m_flows.insert_or_assign(entry.flow, flow_record{agent, now, false});
+    m_sent_again.push_back(entry.bytes);
+    out.push_back(
+        send_to_agent{agent, {m_sent_again.back().data(), opening_packet_size}, m_self, 0, packet_path::direct});
+    out.push_back(decision_record{entry.tried.empty() ? decision::placed : decision::placed_again,
+                                  entry.flow,
+                                  agent,
+                                  0,
+                                  {},
+                                  chosen->in_own_zone ? "own_zone" : "other_zone"});
+    entry.tried.push_back(agent);
+    entry.deadline = now + placement_timeout;
+    m_pending.push_back(std::move(entry));
+}
+
+void entry_relay::forward_unknown(const packet& value, wire::bytes_view bytes, const known_route& route,
+                                  core::time_point now, actions& out)
+{
+    const auto* holder =
+        choose_holder(m_view, route, hash_of(value.flow), [this, now](ipv4 agent) { return is_avoided(agent, now); });
+    if (holder == nullptr) {
+        return;
+    }
+    out.push_back(send_to_agent{holder->value.address, bytes, m_self, 0, packet_path::direct});
+}
+
+void entry_relay::on_message(ipv4 from, const message& value, core::time_point now, actions& /*out*/)
+{
+    if (const auto* found = std::get_if<flow_found>(&value)) {
+        confirm(from, found->flow, now);
+    }
+}
+
+void entry_relay::confirm(ipv4 agent, const flow_key& flow, core::time_point now)
+{
+    m_flows.insert_or_assign(flow, flow_record{agent, now, true});
+    m_agents.erase(static_cast<std::uint32_t>(agent));
+    const auto it =
+        std::find_if(m_pending.begin(), m_pending.end(), [&flow](const auto& entry) { return entry.flow == flow; });
+    if (it != m_pending.end()) {
+        m_pending.erase(it);
+    }
+}
+
+void entry_relay::on_tick(core::time_point now, actions& out)
+{
+    m_sent_again.clear();
+    while (!m_pending.empty() && m_pending.front().deadline <= now) {
+        auto entry = std::move(m_pending.front());
+        m_pending.pop_front();
+        note_miss(entry.tried.back(), entry.flow, now, out);
+        if (const auto* route = m_view.find_route(entry.flow.service, entry.flow.service_port)) {
+            place(std::move(entry), *route, now, out);
+        }
+    }
+    if (now >= m_next_sweep) {
+        m_next_sweep = now + sweep_interval;
+        forget_idle(now);
+    }
+}
+
+void entry_relay::note_miss(ipv4 agent, const flow_key& flow, core::time_point now, actions& out)
+{
+    auto& record = m_agents[static_cast<std::uint32_t>(agent)];
+    if (++record.misses >= agent_miss_limit) {
+        record.avoid_until = now + agent_avoid_time;
+        out.push_back(decision_record{decision::agent_suspected, flow, agent, 0, {}, "placements_unconfirmed"});
+    }
+}
+
+bool entry_relay::is_avoided(ipv4 agent, core::time_point now) const
+{
+    const auto it = m_agents.find(static_cast<std::uint32_t>(agent));
+    return it != m_agents.end() && now < it->second.avoid_until;
+}
+
+void entry_relay::forget_idle(core::time_point now)
+{
+    const auto limit = m_view.idle_timeout().count() > 0 ? m_view.idle_timeout() : default_idle_timeout;
+    for (auto it = m_flows.begin(); it != m_flows.end();) {
+        it = now - it->second.touched > limit ? m_flows.erase(it) : std::next(it);
+    }
+}
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/src/relay/fleet_view.cpp
@@ -0,0 +1,258 @@
+#include "daisydoor/relay/fleet_view.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+const std::vector<const known_host*> no_hosts;
+/// Bounds the history of a route whose services keep changing.
+constexpr std::size_t max_former_services = 8;
+
+std::uint64_t member_of(const host& value) noexcept
+{
+    return XXH3_64bits_withSeed(value.id.data(), value.id.size(), static_cast<std::uint64_t>(value.born));
+}
+
+void add_former(std::vector<service_index>& former, service_index service)
+{
+    if (std::find(former.begin(), former.end(), service) != former.end()) {
+        return;
+    }
+    if (former.size() == max_former_services) {
+        former.erase(former.begin());
+    }
+    former.push_back(service);
+}
+
+} // namespace
+
+std::uint64_t hash_of(const flow_key& flow) noexcept { return XXH3_64bits(&flow, sizeof flow); }
+
+bool known_route::allows(service_index service) const noexcept
+{
+    return std::any_of(services.begin(), services.end(),
+                       [service](const choice& it) { return it.service == service && it.weight > 0; });
+}
+
+fleet_view::fleet_view(std::string own_zone) : m_own_zone(std::move(own_zone)) {}
+
+fleet_view::route_key fleet_view::key_of(ipv4 address, std::uint16_t port) noexcept
+{
+    return route_key{static_cast<std::uint32_t>(address)} << 16U | port;
+}
+
+service_index fleet_view::intern(const std::string& name)
+{
+    const auto next = service_index{static_cast<std::uint32_t>(m_service_indices.size())};
+    return m_service_indices.emplace(name, next).first->second;
+}
+
+view_change fleet_view::apply(const fleet_update& update, core::time_point now)
+{
+    view_change result;
+    // The state is complete up to m_revision: an older change is a repetition, or was undone since.
+    const bool is_newer_whole = update.whole && update.revision >= m_revision;
+    for (const auto& change : update.changes) {
+        if (!is_newer_whole && change.revision <= m_revision) {
+            continue;
+        }
+        if (const auto* it = std::get_if<host>(&change.value)) {
+            result.hosts += apply_host(*it, change.revision) ? 1 : 0;
+        } else if (const auto* removal = std::get_if<host_removed>(&change.value)) {
+            result.hosts += apply_removal(removal->id, change.revision, now) ? 1 : 0;
+        } else if (const auto* routes = std::get_if<route_set>(&change.value)) {
+            result.routes = apply_routes(*routes, change.revision) || result.routes;
+        }
+    }
+    if (is_newer_whole) {
+        std::vector<std::string> missing;
+        for (const auto& [id, entry] : m_hosts) {
+            const bool is_named =
+                std::any_of(update.changes.begin(), update.changes.end(), [&id = id](const fleet_change& it) {
+                    const auto* named = std::get_if<host>(&it.value);
+                    return named != nullptr && named->id == id;
+                });
+            if (!is_named && entry.revision <= update.revision) {
+                missing.push_back(id);
+            }
+        }
+        for (const auto& id : missing) {
+            result.hosts += apply_removal(id, update.revision, now) ? 1 : 0;
+        }
+    }
+    m_revision = std::max(m_revision, update.revision);
+    if (result.hosts > 0) {
+        index_hosts();
+    }
+    return result;
+}
+
+bool fleet_view::apply_host(const host& value, relay::revision at)
+{
+    auto [it, added] = m_hosts.try_emplace(value.id);
+    auto& entry = it->second;
+    if (!added && at <= entry.revision && !entry.lapses_at) {
+        return false;
+    }
+    if (!added && at < entry.revision) {
+        return false;
+    }
+    entry.value = value;
+    entry.revision = at;
+    entry.service = intern(value.service);
+    entry.member = member_of(value);
+    entry.in_own_zone = value.availability_zone == m_own_zone;
+    entry.lapses_at.reset();
+    return true;
+}
+
+bool fleet_view::apply_removal(const std::string& id, relay::revision at, core::time_point now)
+{
+    const auto it = m_hosts.find(id);
+    if (it == m_hosts.end() || it->second.revision > at || it->second.lapses_at) {
+        return false;
+    }
+    const bool may_return =
+        it->second.value.state == host_state::ready && m_regained_at && now - *m_regained_at < lapse_time;
+    if (may_return) {
+        it->second.lapses_at = *m_regained_at + lapse_time;
+        it->second.revision = at;
+    } else {
+        m_hosts.erase(it);
+    }
+    return true;
+}
+
+std::size_t fleet_view::expire(core::time_point now)
+{
+    std::size_t result = 0;
+    for (auto it = m_hosts.begin(); it != m_hosts.end();) {
+        const bool is_over = it->second.lapses_at && now >= *it->second.lapses_at;
+        it = is_over ? m_hosts.erase(it) : std::next(it);
+        result += is_over ? 1 : 0;
+    }
+    if (result > 0) {
+        index_hosts();
+    }
+    return result;
+}
+
+bool fleet_view::apply_routes(const route_set& value, relay::revision at)
+{
+    if (value.version <= m_version) {
+        return false;
+    }
+    auto before = std::exchange(m_routes, {});
+    for (const auto& it : value.routes) {
+        const auto key = key_of(it.address, it.port);
+        known_route entry;
+        entry.value = it;
+        for (const auto& choice : it.services) {
+            entry.services.push_back({intern(choice.service), choice.weight});
+            entry.total_weight += choice.weight;
+        }
+        if (const auto old = before.find(key); old != before.end()) {
+            entry.former = std::move(old->second.former);
+            for (const auto& choice : old->second.services) {
+                add_former(entry.former, choice.service);
+            }
+            before.erase(old);
+        } else if (const auto dropped = m_dropped_routes.find(key); dropped != m_dropped_routes.end()) {
+            entry.former = std::move(dropped->second);
+        }
+        m_dropped_routes.erase(key);
+        m_routes.insert_or_assign(key, std::move(entry));
+    }
+    for (auto& [key, old] : before) {
+        m_dropped_routes.insert_or_assign(key, std::move(old.former));
+    }
+    m_version = value.version;
+    m_routes_revision = at;
+    m_idle_timeout = value.idle_timeout;
+    return true;
+}
+
+void fleet_view::index_hosts()
+{
+    m_by_service.assign(m_service_indices.size(), {});
+    m_by_address.clear();
+    for (const auto& [id, entry] : m_hosts) {
+        m_by_service.at(static_cast<std::size_t>(entry.service)).push_back(&entry);
+        auto& newest = m_by_address[static_cast<std::uint32_t>(entry.value.address)];
+        if (newest == nullptr || newest->value.born < entry.value.born) {
+            newest = &entry;
+        }
+    }
+}
+
+const known_route* fleet_view::find_route(ipv4 address, std::uint16_t port) const
+{
+    const auto it = m_routes.find(key_of(address, port));
+    return it != m_routes.end() ? &it->second : nullptr;
+}
+
+bool fleet_view::is_dropped_route(ipv4 address, std::uint16_t port) const
+{
+    return m_dropped_routes.count(key_of(address, port)) != 0;
+}
+
+const std::vector<const known_host*>& fleet_view::hosts_of(service_index service) const
+{
+    const auto i = static_cast<std::size_t>(service);
+    return i < m_by_service.size() ? m_by_service[i] : no_hosts;
+}
+
+const known_host* fleet_view::find_host(ipv4 address) const
+{
+    const auto it = m_by_address.find(static_cast<std::uint32_t>(address));
+    return it != m_by_address.end() ? it->second : nullptr;
+}
+
+std::optional<service_index> fleet_view::find_service(const std::string& name) const
+{
+    const auto it = m_service_indices.find(name);
+    return it != m_service_indices.end() ? std::optional(it->second) : std::nullopt;
+}
+
+service_index fleet_view::choose_service(const known_route& route, std::uint64_t flow_hash) noexcept
+{
+    if (route.total_weight == 0) {
+        return route.services.empty() ? service_index{} : route.services.front().service;
+    }
+    std::uint64_t point = flow_hash % route.total_weight;
+    for (const auto& it : route.services) {
+        if (point < it.weight) {
+            return it.service;
+        }
+        point -= it.weight;
+    }
+    return route.services.back().service;
+}
+
+fleet_update fleet_view::snapshot() const
+{
+    fleet_update result;
+    result.revision = m_revision;
+    result.whole = true;
+    for (const auto& [id, entry] : m_hosts) {
+        result.changes.push_back({entry.revision, entry.value});
+    }
+    if (is_ready()) {
+        route_set routes;
+        routes.version = m_version;
+        routes.idle_timeout = m_idle_timeout;
+        for (const auto& [key, entry] : m_routes) {
+            routes.routes.push_back(entry.value);
+        }
+        result.changes.push_back({m_routes_revision, std::move(routes)});
+    }
+    return result;
+}
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/src/relay/placement.cpp
@@ -0,0 +1,113 @@
+#include "daisydoor/relay/placement.hpp"
+
+#include "daisydoor/core/rendezvous.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+/// Part of a slot that an open flow is expected to keep busy: a request of 40 ms about each second.
+constexpr double flow_pressure = 0.05;
+/// A peer must be less busy by this part of its slots; half a slot of five is within the noise of 100 ms old reports.
+constexpr double margin_in_zone = 0.15;
+/// Bytes between availability zones cost more, and the path adds milliseconds.
+constexpr double margin_across_zones = 0.35;
+
+/// Hosts in the own availability zone go first, then the others; avoided ones last.
+struct rank
+{
+    int group = std::numeric_limits<int>::max();
+    double distance = 0;
+
+    friend bool operator<(const rank& a, const rank& b) noexcept
+    {
+        return a.group != b.group ? a.group < b.group : a.distance < b.distance;
+    }
+};
+
+} // namespace
+
+const known_host* choose_host(const fleet_view& view, const known_route& route, std::uint64_t flow_hash,
+                              const std::function<bool(ipv4)>& is_excluded, const std::function<bool(ipv4)>& is_avoided)
+{
+    constexpr int across_zones = 1;
+    constexpr int other_service = 2;
+    constexpr int avoided = 4;
+    const auto chosen = fleet_view::choose_service(route, flow_hash);
+    const known_host* result = nullptr;
+    rank best;
+    for (const auto& choice : route.services) {
+        if (choice.weight == 0) {
+            continue;
+        }
+        for (const auto* it : view.hosts_of(choice.service)) {
+            if (!it->is_usable() || is_excluded(it->value.address)) {
+                continue;
+            }
+            const rank own{(it->in_own_zone ? 0 : across_zones) + (choice.service == chosen ? 0 : other_service) +
+                               (is_avoided(it->value.address) ? avoided : 0),
+                           core::rendezvous_distance(flow_hash, it->member) / it->value.slots};
+            if (own < best) {
+                best = own;
+                result = it;
+            }
+        }
+    }
+    return result;
+}
+
+const known_host* choose_holder(const fleet_view& view, const known_route& route, std::uint64_t flow_hash,
+                                const std::function<bool(ipv4)>& is_avoided)
+{
+    constexpr int avoided = 1;
+    const known_host* result = nullptr;
+    rank best;
+    const auto consider = [&](service_index service) {
+        for (const auto* it : view.hosts_of(service)) {
+            const rank own{is_avoided(it->value.address) ? avoided : 0,
+                           core::rendezvous_distance(flow_hash, it->member)};
+            if (own < best) {
+                best = own;
+                result = it;
+            }
+        }
+    };
+    for (const auto& choice : route.services) {
+        consider(choice.service);
+    }
+    for (const auto service : route.former) {
+        consider(service);
+    }
+    return result;
+}
+
+double pressure_of(const host_load& load, std::uint32_t passed) noexcept
+{
+    return (load.in_flight + passed + flow_pressure * load.open_flows) / std::max(load.slots, 1U);
+}
+
+const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers) noexcept
+{
+    const peer_load* result = nullptr;
+    double best = own.accepts ? pressure_of(own, 0) : std::numeric_limits<double>::max();
+    for (const auto& it : peers) {
+        if (!it.load.accepts) {
+            continue;
+        }
+        // A host that takes no flows is left at any price.
+        const double margin = it.in_own_zone ? margin_in_zone : margin_across_zones;
+        const double pressure = pressure_of(it.load, it.passed) + margin;
+        if (pressure < best) {
+            best = pressure;
+            result = &it;
+        }
+    }
+    return result;
+}
+
+} // namespace daisydoor::relay
--- /dev/null
+++ b/src/relay/store_reader.cpp
@@ -0,0 +1,97 @@
+#include "daisydoor/relay/store_reader.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+void append(fleet_update& to, fleet_update from)
+{
+    std::move(from.changes.begin(), from.changes.end(), std::back_inserter(to.changes));
+    std::move(from.rejected.begin(), from.rejected.end(), std::back_inserter(to.rejected));
+}
+
+} // namespace
+
+std::optional<store_request> store_reader::next(core::time_point now)
+{
+    if (m_in_flight || now < m_due_at) {
+        return std::nullopt;
+    }
+    m_in_flight = true;
+    const auto timeout = m_next == store_call::watch ? watch_wait + answer_timeout : answer_timeout;
+    return store_request{m_next, m_after, m_revision, timeout};
+}
+
+store_progress store_reader::on_result(store_result result, fleet_update update, bool has_more,
+                                       const std::string& last_key, core::time_point now)
+{
+    m_in_flight = false;
+    store_progress progress;
+    if (result == store_result::failed) {
+        on_failure(now, progress);
+        return progress;
+    }
+    progress.regained = std::exchange(m_lost, false);
+    m_pause = retry_pause;
+    m_due_at = now;
+    m_confirmed_at = now;
+    if (result == store_result::history_lost) {
+        m_next = store_call::read_routes;
+        return progress;
+    }
+    switch (m_next) {
+    case store_call::read_routes:
+        // The pages are read one after the other: the watch goes on from the revision of the first.
+        m_whole = std::move(update);
+        m_after.clear();
+        m_next = store_call::read_hosts;
+        break;
+    case store_call::read_hosts:
+        append(m_whole, std::move(update));
+        m_after = last_key;
+        if (!has_more) {
+            m_after.clear();
+            m_whole.whole = true;
+            m_revision = m_whole.revision;
+            m_next = store_call::watch;
+            progress.update = std::exchange(m_whole, {});
+        }
+        break;
+    case store_call::watch:
+        m_revision = std::max(m_revision, update.revision);
+        if (!update.changes.empty() || !update.rejected.empty()) {
+            m_due_at = now + watch_pause;
+        }
+        progress.update = std::move(update);
+        break;
+    }
+    return progress;
+}
+
+void store_reader::on_failure(core::time_point now, store_progress& progress)
+{
+    progress.lost = !std::exchange(m_lost, true);
+    if (m_next == store_call::read_hosts) {
+        m_next = store_call::read_routes;
+    }
+    m_due_at = now + m_pause;
+    m_pause = std::min(m_pause * 2, max_retry_pause);
+}
+
+void store_reader::on_pause(core::time_point now) noexcept
+{
+    m_in_flight = false;
+    m_due_at = now;
+    m_pause = retry_pause;
+    if (m_next == store_call::read_hosts) {
+        m_next = store_call::read_routes;
+    }
+}
+
+} // namespace daisydoor::relay
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -5,6 +5,7 @@
 #include "daisydoor/runtime/detail/config_task.hpp"
 #include "daisydoor/runtime/detail/entry_task.hpp"
 #include "daisydoor/runtime/detail/link_task.hpp"
+#include "daisydoor/runtime/detail/log_output.hpp"
 #include "daisydoor/runtime/detail/platform_task.hpp"
 #include "daisydoor/runtime/detail/target_task.hpp"
 #include "daisydoor/runtime/detail/udp_task.hpp"
@@ -116,9 +117,11 @@
 
 int run_daemon(const settings& values)
 {
+    detail::set_log_level(values.log_level);
     // A peer or target that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     kernel owner;
+    owner.add(std::make_unique<detail::log_task>(owner));
     add_tasks(owner, values);
     write_log(log_event::process_started, std::string(role_names.at(static_cast<std::size_t>(values.role))) + " at " +
                                               core::to_string(values.listen));
--- /dev/null
+++ b/src/runtime/relay_task.cpp
@@ -0,0 +1,383 @@
+#include "daisydoor/runtime/detail/relay_task.hpp"
+
+#include "daisydoor/relay/codec.hpp"
+#include "daisydoor/runtime/detail/socket_address.hpp"
+
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace daisydoor::runtime::detail
+{
+
+namespace
+{
+
+/// Finer than every timeout of the decision cores.
+constexpr core::milliseconds tick_interval{20};
+/// A process that did not run for this long has missed changes and answers.
+constexpr core::milliseconds pause_limit{700};
+/// The routers take an instance out after two missed probes 500 ms apart.
+constexpr core::milliseconds router_notice_time{1500};
+/// No packet for this long shows that the routers have moved on.
+constexpr core::milliseconds quiet_time{300};
+/// Part of the grace period that a drain may use; the rest is for the exit itself.
+constexpr double drain_part = 0.6;
+/// Decision lines a second that a process writes; a line costs a small entry about 10 us of its processor.
+constexpr double log_lines_per_second = 40;
+constexpr double log_burst = 200;
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_not_ready = 503;
+
+relay::ipv4 ipv4_of(const core::endpoint& value)
+{
+    std::uint32_t result = 0;
+    for (std::size_t i = value.address.size() - sizeof result; i < value.address.size(); ++i) {
+        result = result << 8U | value.address.at(i);
+    }
+    return relay::ipv4{result};
+}
+
+std::string text_of(relay::ipv4 value)
+{
+    const auto raw = static_cast<std::uint32_t>(value);
+    std::string result;
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        result += (result.empty() ? "" : ".") + std::to_string(raw >> static_cast<unsigned>(shift) & 255U);
+    }
+    return result;
+}
+
+std::string text_of(const relay::flow_key& value)
+{
+    return text_of(value.client) + ':' + std::to_string(value.client_port) + '>' + text_of(value.service) + ':' +
+           std::to_string(value.service_port);
+}
+
+core::endpoint with_port(core::endpoint value, std::uint16_t port)
+{
+    value.port = port;
+    return value;
+}
+
+/// Time that the machine was suspended; the steady clock does not count it.
+core::duration suspended_time()
+{
+    timespec boot{};
+    timespec steady{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    clock_gettime(CLOCK_MONOTONIC, &steady);
+    return std::chrono::seconds(boot.tv_sec - steady.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec - steady.tv_nsec);
+}
+
+relay::agent_relay_options agent_options(const relay_settings& values, relay::ipv4 self)
+{
+    relay::agent_relay_options result;
+    result.self = self;
+    result.service = values.agent->service;
+    result.availability_zone = values.zone;
+    result.started_at = core::clock::now();
+    result.may_hold_earlier_flows = !values.first_start;
+    result.flow_ttl = values.flow_ttl;
+    return result;
+}
+
+} // namespace
+
+relay_task::relay_task(kernel& owner, const relay_settings& values, store_task& store, const log_output& log)
+    : m_kernel(owner), m_settings(values), m_store(store), m_log(log), m_self(ipv4_of(values.packets)),
+      m_view(values.zone),
+      m_packets(
+          owner.base(), values.packets,
+          [this](wire::bytes_view bytes, relay::ipv4 from) { on_client_packet(bytes, from); }, [this] { flush(); }),
+      m_messages(
+          owner.base(), with_port(values.packets, values.peer_port),
+          [this](wire::bytes_view bytes, relay::ipv4 from) { on_message(bytes, from); }, [this] { flush(); }),
+      m_tick(owner.base(), [this] { on_tick(); }),
+      m_admin(owner, values.admin, [this](const std::string& path, const auto&) { return answer(path); }),
+      m_last_tick(core::clock::now()), m_suspended(suspended_time()), m_log_tokens(log_burst),
+      m_log_refilled(m_last_tick)
+{
+    if (values.agent) {
+        m_host = ipv4_of(values.agent->host);
+        m_agent = std::make_unique<relay::agent_relay>(agent_options(values, m_self), m_view);
+        m_host_packets = std::make_unique<packet_socket>(
+            owner.base(), values.agent->outbound,
+            [this](wire::bytes_view bytes, relay::ipv4) { on_host_packet(bytes); }, [this] { flush(); });
+    } else {
+        m_entry = std::make_unique<relay::entry_relay>(m_self, m_view);
+    }
+    owner.provide<fleet_news>(service_names::role, [this](fleet_news& news) { on_news(news); });
+}
+
+relay_task::~relay_task() = default;
+
+void relay_task::start()
+{
+    m_packets.start();
+    m_messages.start();
+    if (m_host_packets) {
+        m_host_packets->start();
+    }
+    m_tick.add(tick_interval);
+}
+
+void relay_task::on_client_packet(wire::bytes_view bytes, relay::ipv4 from)
+{
+    const auto packet = platform::decode_packet(bytes, platform::packet_sender::client);
+    if (!packet) {
+        ++m_packets.counters().malformed;
+        return;
+    }
+    const auto now = core::clock::now();
+    m_last_packet = now;
+    if (m_entry) {
+        m_entry->on_packet(*packet, bytes, now, m_actions);
+    } else {
+        m_agent->on_packet(*packet, bytes, from, now, m_actions);
+    }
+    execute();
+}
+
+void relay_task::on_host_packet(wire::bytes_view bytes)
+{
+    const auto packet = platform::decode_packet(bytes, platform::packet_sender::host);
+    if (!packet) {
+        ++m_host_packets->counters().malformed;
+        return;
+    }
+    m_agent->on_host_packet(*packet, bytes, core::clock::now(), m_actions);
+    execute();
+}
+
+void relay_task::on_message(wire::bytes_view bytes, relay::ipv4 from)
+{
+    const auto message = relay::decode_message(bytes);
+    if (!message) {
+        ++m_bad_messages;
+        return;
+    }
+    const auto now = core::clock::now();
+    if (m_entry) {
+        m_entry->on_message(from, *message, now, m_actions);
+    } else {
+        m_agent->on_message(from, *message, now, m_actions);
+    }
+    execute();
+}
+
+void relay_task::on_news(fleet_news& news)
+{
+    const auto now = core::clock::now();
+    if (news.regained) {
+        m_view.platform_regained(now);
+    }
+    if (!news.update) {
+        return;
+    }
+    const auto change = m_view.apply(*news.update, now);
+    if (change.routes) {
+        write_log(log_event::routes_accepted,
+                  "version=" + std::to_string(static_cast<std::uint64_t>(m_view.version())) +
+                      " routes=" + std::to_string(m_view.route_count()) +
+                      " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())));
+    }
+    if (change.hosts > 0) {
+        write_log(log_event::hosts_changed,
+                  "changed=" + std::to_string(change.hosts) + " hosts=" + std::to_string(m_view.hosts().size()) +
+                      " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())));
+    }
+}
+
+void relay_task::check_pause(core::time_point now)
+{
+    const auto suspended = suspended_time();
+    const auto gap = now - m_last_tick + (suspended - m_suspended);
+    m_last_tick = now;
+    m_suspended = suspended;
+    if (gap > pause_limit) {
+        write_log(log_event::pause_detected,
+                  "gap_ms=" + std::to_string(std::chrono::duration_cast<core::milliseconds>(gap).count()));
+        m_store.on_pause();
+    }
+}
+
+void relay_task::on_tick()
+{
+    const auto now = core::clock::now();
+    check_pause(now);
+    if (const auto n = m_view.expire(now); n > 0) {
+        write_log(log_event::hosts_changed, "lapsed=" + std::to_string(n) +
+                                                " hosts=" + std::to_string(m_view.hosts().size()) +
+                                                " reason=missing_after_platform_return");
+    }
+    if (m_entry) {
+        m_entry->on_tick(now, m_actions);
+    } else {
+        m_agent->on_tick(now, m_actions);
+    }
+    execute();
+    flush();
+    if (m_drain_started) {
+        const auto age = now - *m_drain_started;
+        const bool is_quiet = now - m_last_packet > quiet_time;
+        if ((age > router_notice_time && is_quiet) || age > m_settings.grace * drain_part) {
+            write_log(log_event::drain_finished, "");
+            m_kernel.stop(0);
+        }
+    }
+    m_tick.add(tick_interval);
+}
+
+void relay_task::start_drain()
+{
+    if (!m_drain_started) {
+        write_log(log_event::drain_started, "");
+        m_drain_started = core::clock::now();
+        if (m_agent) {
+            m_agent->start_drain();
+        }
+    }
+}
+
+void relay_task::execute()
+{
+    for (const auto& it : m_actions) {
+        std::visit([this](const auto& value) { perform(value); }, it);
+    }
+    m_actions.clear();
+}
+
+void relay_task::flush()
+{
+    m_packets.flush();
+    m_messages.flush();
+    if (m_host_packets) {
+        m_host_packets->flush();
+    }
+}
+
+void relay_task::perform(const relay::send_to_agent& value)
+{
+    m_packets.queue_marked(value.agent, m_settings.packets.port, value.bytes, {value.entry, value.hops, value.path});
+}
+
+void relay_task::perform(const relay::send_to_host& value)
+{
+    m_host_packets->queue_marked(m_host, m_settings.agent->host.port, value.bytes, {value.entry, 0, {}});
+}
+
+void relay_task::perform(const relay::send_to_client& value)
+{
+    m_packets.queue(value.client, m_settings.packets.port, value.bytes);
+}
+
+void relay_task::perform(const relay::reset_client& value)
+{
+    ++m_resets;
+    const auto bytes = platform::encode_reset(value.flow, value.sequence);
+    m_packets.queue_owned(value.flow.client, m_settings.packets.port, {bytes.begin(), bytes.end()});
+}
+
+void relay_task::perform(const relay::send_message& value)
+{
+    m_messages.queue_owned(value.to, m_settings.peer_port, relay::encode_message(value.value));
+}
+
+void relay_task::perform(const relay::decision_record& value)
+{
+    ++m_decisions.at(static_cast<std::size_t>(value.decision));
+    const auto now = core::clock::now();
+    const double elapsed = std::chrono::duration<double>(now - m_log_refilled).count();
+    m_log_tokens = std::min(log_burst, m_log_tokens + elapsed * log_lines_per_second);
+    m_log_refilled = now;
+    if (m_log_tokens < 1) {
+        ++m_log_suppressed;
+        return;
+    }
+    m_log_tokens -= 1;
+    std::string details =
+        "decision=" + std::string(relay::decision_names.at(static_cast<std::size_t>(value.decision))) +
+        " flow=" + text_of(value.flow) + " agent=" + text_of(value.agent) + " hops=" + std::to_string(value.hops) +
+        " in_flight=" + std::to_string(value.load.in_flight) + " open=" + std::to_string(value.load.open_flows) +
+        " slots=" + std::to_string(value.load.slots) + " reason=" + std::string(value.reason) +
+        " version=" + std::to_string(static_cast<std::uint64_t>(m_view.version())) +
+        " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision()));
+    if (m_log_suppressed > 0) {
+        details += " suppressed=" + std::to_string(std::exchange(m_log_suppressed, 0));
+    }
+    write_log(log_event::flow_decision, details);
+}
+
+bool relay_task::is_ready() const { return m_view.is_ready() && !m_drain_started; }
+
+http_reply relay_task::answer(const std::string& path)
+{
+    if (path == platform::readiness_path) {
+        return is_ready() ? http_reply{status_ok, "text/plain", "ready\n"}
+                          : http_reply{status_not_ready, "text/plain", "not ready\n"};
+    }
+    if (path == "/metrics") {
+        return {status_ok, "text/plain; version=0.0.4; charset=utf-8", metrics_text()};
+    }
+    if (path == "/dump") {
+        return {status_ok, "application/json", dump()};
+    }
+    return {status_not_found, "text/plain", "offered are GET /dump and GET /metrics\n"};
+}
+
+std::string relay_task::metrics_text()
+{
+    collect_values message;
+    message.values = {
+        {"packets_received", "", static_cast<double>(m_packets.counters().received)},
+        {"packets_malformed", "", static_cast<double>(m_packets.counters().malformed)},
+        {"packets_sent", "", static_cast<double>(m_packets.counters().sent)},
+        {"packets_send_failed", "", static_cast<double>(m_packets.counters().send_failed)},
+        {"messages_malformed", "", static_cast<double>(m_bad_messages)},
+        {"resets", "", static_cast<double>(m_resets)},
+        {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
+        {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
+        {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
+        {"route_version", "", static_cast<double>(static_cast<std::uint64_t>(m_view.version())), false}};
+    for (std::size_t i = 0; i < m_decisions.size(); ++i) {
+        message.values.push_back(
+            {"decisions", std::string(relay::decision_names.at(i)), static_cast<double>(m_decisions.at(i))});
+    }
+    m_metrics.update(message);
+    collect_values platform;
+    if (const auto found = m_kernel.find_optional<collect_values>(service_names::platform)) {
+        found.call(platform);
+        m_metrics.update(platform);
+    }
+    return m_metrics.text();
+}
+
+std::string relay_task::dump() const
+{
+    nlohmann::json result;
+    result["name"] = m_settings.name;
+    result["role"] = relay_role_names.at(static_cast<std::size_t>(m_settings.role));
+    result["version"] = static_cast<std::uint64_t>(m_view.version());
+    result["revision"] = static_cast<std::uint64_t>(m_view.revision());
+    result["flows"] = m_entry ? m_entry->flow_count() : m_agent->flow_count();
+    for (const auto& [id, entry] : m_view.hosts()) {
+        result["hosts"].push_back({{"id", id},
+                                   {"service", entry.value.service},
+                                   {"zone", entry.value.availability_zone},
+                                   {"address", text_of(entry.value.address)},
+                                   {"slots", entry.value.slots},
+                                   {"state", relay::host_state_names.at(static_cast<std::size_t>(entry.value.state))},
+                                   {"lapsing", entry.lapses_at.has_value()}});
+    }
+    if (m_agent) {
+        const auto load = m_agent->load();
+        result["load"] = {{"in_flight", load.in_flight},
+                          {"open_flows", load.open_flows},
+                          {"slots", load.slots},
+                          {"accepts", load.accepts}};
+    }
+    return result.dump(2) + '\n';
+}
+
+} // namespace daisydoor::runtime::detail
--- /dev/null
+++ b/src/runtime/store_task.cpp
@@ -0,0 +1,142 @@
+#include "daisydoor/runtime/detail/store_task.hpp"
+
+#include "platform/store.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::runtime::detail
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+
+std::string path_of(const relay::store_request& request)
+{
+    switch (request.call) {
+    case relay::store_call::read_routes:
+        return platform::range_path(platform::store_part::routes, "", false);
+    case relay::store_call::read_hosts:
+        return platform::range_path(platform::store_part::hosts, request.after, false);
+    case relay::store_call::watch:
+        break;
+    }
+    return platform::watch_path(request.revision, relay::watch_wait);
+}
+
+std::string describe(const http_answer& answer)
+{
+    switch (answer.outcome) {
+    case http_outcome::answered:
+        return "status_" + std::to_string(answer.status);
+    case http_outcome::connect_failed:
+        return "connect_failed";
+    case http_outcome::broken:
+        return "connection_broken";
+    case http_outcome::timed_out:
+        break;
+    }
+    return "timed_out";
+}
+
+} // namespace
+
+store_task::store_task(kernel& owner, const core::endpoint& platform)
+    : m_kernel(owner), m_client(owner, platform), m_timer(owner.base(), [this] { pump(); })
+{
+    owner.provide<collect_values>(service_names::platform, [this](collect_values& message) { collect(message); });
+}
+
+void store_task::start()
+{
+    m_role = m_kernel.find<fleet_news>(service_names::role);
+    pump();
+}
+
+void store_task::on_pause()
+{
+    if (m_exchange != 0) {
+        m_client.cancel(m_exchange);
+        m_exchange = 0;
+    }
+    m_reader.on_pause(core::clock::now());
+    pump();
+}
+
+void store_task::pump()
+{
+    const auto now = core::clock::now();
+    if (const auto request = m_reader.next(now)) {
+        call(*request);
+    } else if (m_exchange == 0) {
+        const auto wait = std::chrono::duration_cast<core::milliseconds>(m_reader.due_at() - now);
+        m_timer.add(std::max(wait, core::milliseconds(0)) + core::milliseconds(1));
+    }
+}
+
+void store_task::call(const relay::store_request& request)
+{
+    ++m_counters.calls;
+    http_request exchange;
+    exchange.path = path_of(request);
+    exchange.timeout = request.timeout;
+    m_exchange = m_client.start(std::move(exchange),
+                                [this, call = request.call](const http_answer& answer) { on_answer(call, answer); });
+}
+
+void store_task::on_answer(relay::store_call call, const http_answer& answer)
+{
+    m_exchange = 0;
+    const auto now = core::clock::now();
+    auto result = relay::store_result::failed;
+    auto failure = describe(answer);
+    platform::store_page page;
+    if (answer.outcome == http_outcome::answered && answer.status == status_gone) {
+        result = relay::store_result::history_lost;
+    } else if (answer.outcome == http_outcome::answered && answer.status == status_ok) {
+        const wire::bytes_view body{answer.body.data(), answer.body.size()};
+        try {
+            if (call == relay::store_call::watch) {
+                page.update = platform::decode_events(body);
+            } else {
+                page = platform::decode_page(body);
+            }
+            result = relay::store_result::answered;
+        } catch (const platform::store_error& e) {
+            failure = e.what();
+        }
+    }
+    for (const auto& reason : page.update.rejected) {
+        ++m_counters.rejected_values;
+        write_limited_log(m_reject_log, log_event::published_value_rejected, reason);
+    }
+    on_progress(call, m_reader.on_result(result, std::move(page.update), page.has_more, page.last_key, now), failure);
+    pump();
+}
+
+void store_task::on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure)
+{
+    const auto name = std::string(relay::store_call_names.at(static_cast<std::size_t>(call)));
+    if (progress.lost) {
+        write_log(log_event::platform_unreachable, "call=" + name + " reason=" + failure);
+    }
+    if (progress.regained) {
+        write_log(log_event::platform_reachable, "call=" + name);
+    }
+    if (progress.update || progress.regained) {
+        m_role.post({std::move(progress.update), progress.regained});
+    }
+    m_counters.failed += progress.lost ? 1 : 0;
+}
+
+void store_task::collect(collect_values& message) const
+{
+    message.values = {{"platform_reads", "", static_cast<double>(m_counters.calls)},
+                      {"platform_outages", "", static_cast<double>(m_counters.failed)},
+                      {"platform_values_rejected", "", static_cast<double>(m_counters.rejected_values)},
+                      {"platform_reachable", "", m_reader.is_lost() ? 0.0 : 1.0, false}};
+}
+
+} // namespace daisydoor::runtime::detail
