Search a flow whose client acknowledges another host

Cause: an entry that gets no confirmation within 60 ms, or an agent whose host is slow, sends a copy of the opening packet to a second host. The client uses the first answer; its next packets reach the other agent, whose host returns them. The agent took that for a restarted host and reset an open flow.

Ruled out: no copies at all (a dead agent then costs the client 200 ms or more). The acknowledgement names the host's sequence space, so the agent tells the two cases apart without state at other processes.

Test: agent_relay_test.returned_packet_of_flow_opened_elsewhere_starts_search, red before.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -107,6 +107,8 @@
         ipv4 peer{};
         /// End of the client's data so far.
         std::uint32_t client_sequence = 0;
+        /// End of the host's data so far, if any packet of the host was seen.
+        std::optional<std::uint32_t> host_sequence;
         core::time_point touched;
         core::time_point busy_since;
         core::time_point phase_since;
@@ -138,6 +140,7 @@
     void deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_returned(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_returned_opening(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    [[nodiscard]] static bool is_of_other_host(const flow_record& record, const packet& value) noexcept;
     void lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
               core::time_point now, actions& out);
     void confirm(const flow_key& flow, ipv4 entry, actions& out);
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -1,6 +1,7 @@
 #include "daisydoor/relay/agent_relay.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace daisydoor::relay
@@ -19,6 +20,10 @@
 /// A host returns a packet of a foreign flow at once; after this time it holds the flow.
 constexpr core::milliseconds probing_time{200};
 
+/// A client acknowledges what its host sent within this distance, about three times its window; the sequences of two
+/// hosts are random and rarely this close.
+constexpr std::uint32_t max_acknowledgement_distance = 1U << 18U;
+
 /// Whether a 32-bit sequence number is after another one.
 bool is_after(std::uint32_t a, std::uint32_t b) noexcept { return static_cast<std::int32_t>(a - b) > 0; }
 
@@ -58,6 +63,10 @@
     case flow_phase::held:
     case flow_phase::probing:
         record.entry = value.entry;
+        if (is_of_other_host(record, value)) {
+            search(record, value, bytes, now, out);
+            break;
+        }
         deliver(record, value, bytes, now, out);
         break;
     case flow_phase::elsewhere:
@@ -215,7 +224,8 @@
 void agent_relay::on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
 {
     const auto it = m_flows.find(value.flow);
-    if (it != m_flows.end() && (it->second.phase == flow_phase::held || it->second.phase == flow_phase::opening)) {
+    if (it != m_flows.end() && (it->second.phase == flow_phase::held || it->second.phase == flow_phase::opening) &&
+        !is_of_other_host(it->second, value)) {
         it->second.entry = value.entry;
         deliver(it->second, value, bytes, now, out);
         confirm(value.flow, value.entry, out);
@@ -259,6 +269,10 @@
         }
         out.push_back(decision_record{decision::opened, value.flow, {}, 0, load(), value.syn ? "accepted" : "known"});
     }
+    const std::uint32_t end = value.sequence + value.payload_size + (value.syn ? 1 : 0);
+    if (!value.rst && (!record.host_sequence || is_after(end, *record.host_sequence))) {
+        record.host_sequence = end;
+    }
     if (value.payload_size > 0 || value.fin || value.rst) {
         set_busy(record, false, now);
     }
@@ -283,6 +297,10 @@
     } else if (record.phase == flow_phase::probing) {
         search(record, value, bytes, now, out);
     } else if (record.phase == flow_phase::held || record.phase == flow_phase::opening) {
+        if (!record.host_sequence || is_of_other_host(record, value)) {
+            search(record, value, bytes, now, out);
+            return;
+        }
         // Only a host that has started again returns a flow that it held.
         lose(record, value.flow, value.acknowledgement, "host_restarted", now, out);
     }
@@ -310,6 +328,16 @@
     }
 }
 
+bool agent_relay::is_of_other_host(const flow_record& record, const packet& value) noexcept
+{
+    if (!value.ack || !record.host_sequence) {
+        return false;
+    }
+    const auto distance =
+        static_cast<std::int64_t>(static_cast<std::int32_t>(value.acknowledgement - *record.host_sequence));
+    return std::abs(distance) > max_acknowledgement_distance;
+}
+
 void agent_relay::lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
                        core::time_point now, actions& out)
 {
--- /dev/null
+++ b/tests/unit/unit-relay-agent.cpp
@@ -0,0 +1,201 @@
+#include "daisydoor/relay/agent_relay.hpp"
+
+#include "relay_fixture.hpp"
+
+namespace daisydoor::relay
+{
+namespace
+{
+
+/// Agent 1 of three; the system started with it unless a test says otherwise.
+class agent_relay_test : public relay_fixture
+{
+  protected:
+    agent_relay_test()
+    {
+        set_routes(m_view, {make_route({{"svc", 1}})});
+        for (std::uint32_t n = 1; n <= 3; ++n) {
+            add_host(m_view, make_host(n));
+        }
+        restart(false);
+    }
+
+    void restart(bool may_hold_earlier_flows)
+    {
+        agent_relay_options options;
+        options.self = agent_address(1);
+        options.service = "svc";
+        options.availability_zone = "a";
+        options.started_at = m_now;
+        options.may_hold_earlier_flows = may_hold_earlier_flows;
+        m_agent = std::make_unique<agent_relay>(options, m_view);
+    }
+
+    void on_packet(const packet& value, ipv4 from = entry_address)
+    {
+        m_actions.clear();
+        m_agent->on_packet(value, bytes(), from, m_now, m_actions);
+    }
+
+    void on_host_packet(const packet& value)
+    {
+        m_actions.clear();
+        m_agent->on_host_packet(value, bytes(), m_now, m_actions);
+    }
+
+    void on_message(ipv4 from, const message& value)
+    {
+        m_actions.clear();
+        m_agent->on_message(from, value, m_now, m_actions);
+    }
+
+    void tick(core::milliseconds time)
+    {
+        advance(time);
+        m_actions.clear();
+        m_agent->on_tick(m_now, m_actions);
+    }
+
+    /// Opens a flow at the own host.
+    void open(const flow_key& flow)
+    {
+        on_packet(make_syn(flow));
+        on_host_packet(make_syn_ack(flow));
+    }
+
+    fleet_view m_view{"a"};
+    std::unique_ptr<agent_relay> m_agent;
+};
+
+// Guards against flows that never open.
+TEST_F(agent_relay_test, open_accepted_by_host_confirms_to_entry)
+{
+    on_packet(make_syn(make_flow()));
+    ASSERT_EQ(take<send_to_host>().size(), 1U);
+    on_host_packet(make_syn_ack(make_flow()));
+    ASSERT_EQ(take<send_to_client>().size(), 1U);
+    const auto found = take_messages<flow_found>();
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found[0].first, entry_address);
+    EXPECT_EQ(m_agent->load().open_flows, 1U);
+}
+
+// Guards against a reset of a flow that another host holds: the client acknowledged the other host's answer to a copy
+// of its opening packet (trouble-1, tuul-dues).
+TEST_F(agent_relay_test, returned_packet_of_flow_opened_elsewhere_starts_search)
+{
+    open(make_flow());
+    auto value = make_packet(make_flow());
+    value.acknowledgement = 0x70000000;
+    on_packet(value);
+    on_host_packet(returned(value));
+    EXPECT_TRUE(take<reset_client>().empty());
+    on_packet(value);
+    EXPECT_TRUE(take<reset_client>().empty());
+}
+
+// Guards against clients that wait in vain for a host that has started again and lost its flows.
+TEST_F(agent_relay_test, returned_packet_of_held_flow_resets_client)
+{
+    open(make_flow());
+    const auto value = make_packet(make_flow());
+    on_packet(value);
+    on_host_packet(returned(value));
+    const auto resets = take<reset_client>();
+    ASSERT_EQ(resets.size(), 1U);
+    EXPECT_EQ(resets[0].sequence, value.acknowledgement);
+}
+
+// Guards against lost flows when their agent has started again while the host went on.
+TEST_F(agent_relay_test, unknown_packet_after_restart_is_tried_at_host)
+{
+    restart(true);
+    on_packet(make_packet(make_flow()));
+    EXPECT_EQ(take<send_to_host>().size(), 1U);
+    on_host_packet(make_packet(make_flow()));
+    EXPECT_EQ(take_messages<flow_found>().size(), 1U);
+}
+
+// Guards against flows that no table knows although a peer's host holds them.
+TEST_F(agent_relay_test, unknown_packet_asks_all_peers)
+{
+    on_packet(make_packet(make_flow()));
+    const auto sent = take<send_to_agent>();
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_EQ(sent[0].path, packet_path::search);
+    on_message(agent_address(2), flow_unknown{make_flow()});
+    EXPECT_TRUE(take<reset_client>().empty());
+    on_message(agent_address(3), flow_found{make_flow(), {}});
+    on_packet(make_packet(make_flow()));
+    ASSERT_EQ(take<send_to_agent>().size(), 1U);
+    EXPECT_EQ(take<send_to_agent>()[0].agent, agent_address(3));
+}
+
+// Guards against clients that wait for their deadline although no host holds their flow.
+TEST_F(agent_relay_test, flow_unknown_to_all_peers_resets_client)
+{
+    on_packet(make_packet(make_flow()));
+    on_message(agent_address(2), flow_unknown{make_flow()});
+    on_message(agent_address(3), flow_unknown{make_flow()});
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
+// Guards against new flows at a leaving host.
+TEST_F(agent_relay_test, open_at_draining_host_goes_to_peer)
+{
+    auto own = make_host(1);
+    own.state = host_state::draining;
+    add_host(m_view, own);
+    on_packet(make_syn(make_flow()));
+    EXPECT_TRUE(take<send_to_host>().empty());
+    EXPECT_EQ(take<send_to_agent>().size(), 1U);
+}
+
+// Guards against clients that wait although no host of the service takes flows.
+TEST_F(agent_relay_test, open_with_all_hosts_draining_is_refused)
+{
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        auto value = make_host(n);
+        value.state = host_state::draining;
+        add_host(m_view, value);
+    }
+    on_packet(make_syn(make_flow()));
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
+// Guards against requests that run at a service which the route does not name.
+TEST_F(agent_relay_test, open_for_other_service_never_reaches_host)
+{
+    set_routes(m_view, {make_route({{"other", 1}})});
+    on_packet(make_syn(make_flow()));
+    EXPECT_TRUE(take<send_to_host>().empty());
+}
+
+// Guards against flows that wait for a crashed host while its peers are free.
+TEST_F(agent_relay_test, open_unanswered_by_host_goes_to_peer)
+{
+    on_packet(make_syn(make_flow()));
+    tick(opening_timeout);
+    EXPECT_EQ(take<send_to_agent>().size(), 1U);
+}
+
+// Guards against queues at one host while its peers are free: a burst that reaches one agent.
+TEST_F(agent_relay_test, burst_at_one_agent_is_shared_with_peers)
+{
+    for (std::uint32_t n = 2; n <= 3; ++n) {
+        on_message(agent_address(n), host_load{0, 0, 5, true});
+    }
+    std::size_t kept = 0;
+    std::size_t passed = 0;
+    for (std::uint16_t i = 0; i < 15; ++i) {
+        on_packet(make_syn(make_flow(static_cast<std::uint16_t>(40000 + i))));
+        kept += take<send_to_host>().size();
+        passed += take<send_to_agent>().size();
+    }
+    EXPECT_EQ(kept + passed, 15U);
+    EXPECT_LE(kept, 6U);
+    EXPECT_GE(kept, 4U);
+}
+
+} // namespace
+} // namespace daisydoor::relay
