Let requests wait at the agent, on-time and urgent ones first

Cause: after an outage of 1.5 s the backlog and the new requests fill the hosts' queues in order of arrival.

Ruled out: processor time (the same with none charged), placement (in flight is equal at all hosts).

Change: work_gate gives a host its slots and one request more. Requests that can still be on time go first, then urgent routes, then order of arrival; requests whose clients have left are dropped unsent. The age of a request counts from the first copy of its opening packet.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -54,6 +54,8 @@
 {
     wire::bytes_view bytes;
     ipv4 entry{};
+    /// Sent in place of `bytes` if not empty.
+    wire::buffer owned = {};
 };
 
 /// @brief Passes a packet of the host to its client; lifetime of the bytes as in send_to_agent.
@@ -91,10 +93,13 @@
     host_suspected,
     host_answers,
     agent_suspected,
+    request_waits,
+    request_released,
 };
-constexpr std::array<std::string_view, 12> decision_names{
-    "placed",         "placed_again", "redirected",    "refused",        "opened",       "unanswered",
-    "search_started", "flow_lost",    "route_unknown", "host_suspected", "host_answers", "agent_suspected"};
+constexpr std::array<std::string_view, 14> decision_names{
+    "placed",       "placed_again",    "redirected",    "refused",         "opened",
+    "unanswered",   "search_started",  "flow_lost",     "route_unknown",   "host_suspected",
+    "host_answers", "agent_suspected", "request_waits", "request_released"};
 
 /// @brief Log record of one decision with the inputs that decided it.
 struct decision_record
@@ -107,6 +112,8 @@
     /// Load of the own host, or of the chosen peer as last reported.
     host_load load;
     std::string_view reason;
+    /// Time that a request waited inside the agent.
+    core::milliseconds waited{0};
 };
 
 using action = std::variant<send_to_agent, send_to_host, send_to_client, reset_client, send_message, decision_record>;
--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -4,6 +4,7 @@
 #include "daisydoor/relay/entry_relay.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
 #include "daisydoor/relay/placement.hpp"
+#include "daisydoor/relay/work_gate.hpp"
 
 #include <deque>
 #include <optional>
@@ -99,6 +100,8 @@
     {
         flow_phase phase = flow_phase::opening;
         bool busy = false;
+        /// The request was delivered and holds a place at the gate.
+        bool in_service = false;
         bool client_fin = false;
         bool host_fin = false;
         /// Entry that told of the flow last.
@@ -109,6 +112,10 @@
         std::uint32_t client_sequence = 0;
         /// End of the host's data so far, if any packet of the host was seen.
         std::optional<std::uint32_t> host_sequence;
+        /// Sequence of the reset that the client accepts if the search finds no holder.
+        std::uint32_t reset_sequence = 0;
+        /// When the client sent its opening packet first.
+        core::time_point opened_at;
         core::time_point touched;
         core::time_point busy_since;
         core::time_point phase_since;
@@ -132,8 +139,7 @@
                     actions& out);
     bool pass_on(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops, const peer_load* peer,
                  std::string_view reason, core::time_point now, actions& out);
-    void give_to_host(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops, core::time_point now,
-                      actions& out);
+    void give_to_host(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
     void on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
@@ -144,7 +150,11 @@
     void lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
               core::time_point now, actions& out);
     void confirm(const flow_key& flow, ipv4 entry, actions& out);
-    void set_busy(flow_record& record, bool busy, core::time_point now) noexcept;
+    void set_busy(const flow_key& flow, flow_record& record, bool busy, core::time_point now);
+    bool may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                     actions& out);
+    void release_requests(core::time_point now, actions& out);
+    [[nodiscard]] std::uint32_t slots() const noexcept;
     void set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept;
     void set_closing(flow_record& record, bool client_fin, bool host_fin) noexcept;
     [[nodiscard]] static bool is_open(const flow_record& record) noexcept;
@@ -167,6 +177,7 @@
     agent_relay_options m_options;
     const fleet_view& m_view;
     flow_map m_flows;
+    work_gate m_gate;
     std::deque<opening_record> m_openings;
     std::unordered_map<std::uint32_t, reported_load> m_reports;
     std::uint32_t m_in_flight = 0;
--- a/include/daisydoor/runtime/detail/relay_task.hpp
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -41,7 +41,7 @@
     /// @brief Sends what is queued; called at the end of each received batch.
     void flush();
     void perform(const relay::send_to_agent& value);
-    void perform(const relay::send_to_host& value);
+    void perform(relay::send_to_host& value);
     void perform(const relay::send_to_client& value);
     void perform(const relay::reset_client& value);
     void perform(const relay::send_message& value);
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -24,6 +24,14 @@
 /// hosts are random and rarely this close.
 constexpr std::uint32_t max_acknowledgement_distance = 1U << 18U;
 
+/// Age of the n-th copy of an opening packet: clients send copies 200 and 600 ms after the first.
+core::milliseconds age_of_copy(std::uint32_t copies) noexcept
+{
+    constexpr core::milliseconds first_copy{200};
+    constexpr core::milliseconds second_copy{600};
+    return copies == 0 ? core::milliseconds(0) : copies == 1 ? first_copy : second_copy;
+}
+
 /// Whether a 32-bit sequence number is after another one.
 bool is_after(std::uint32_t a, std::uint32_t b) noexcept { return static_cast<std::int32_t>(a - b) > 0; }
 
@@ -116,7 +124,7 @@
         return;
     }
     if (load.accepts || (is_allowed && m_suspected && !m_draining)) {
-        give_to_host(value.flow, bytes, value.entry, value.hops, now, out);
+        give_to_host(value, bytes, now, out);
         return;
     }
     out.push_back(reset_client{value.flow, 0});
@@ -140,23 +148,23 @@
     }
 }
 
-void agent_relay::give_to_host(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops,
-                               core::time_point now, actions& out)
+void agent_relay::give_to_host(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
 {
-    auto& record = m_flows[flow];
+    auto& record = m_flows[value.flow];
     set_phase(record, flow_phase::opening, now);
-    record.entry = entry;
+    record.entry = value.entry;
     record.touched = now;
+    record.opened_at = now - age_of_copy(value.acknowledgement);
     // The client sends its request as soon as the flow is open.
-    set_busy(record, true, now);
+    set_busy(value.flow, record, true, now);
     opening_record opening;
-    opening.flow = flow;
+    opening.flow = value.flow;
     std::copy_n(bytes.data, opening_packet_size, opening.bytes.begin());
-    opening.entry = entry;
-    opening.hops = hops;
+    opening.entry = value.entry;
+    opening.hops = value.hops;
     opening.deadline = now + opening_timeout;
     m_openings.push_back(opening);
-    out.push_back(send_to_host{bytes, entry});
+    out.push_back(send_to_host{bytes, value.entry});
 }
 
 bool agent_relay::pass_on(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops,
@@ -166,7 +174,7 @@
         return false;
     }
     auto& record = m_flows[flow];
-    set_busy(record, false, now);
+    set_busy(flow, record, false, now);
     set_phase(record, flow_phase::elsewhere, now);
     record.peer = peer->agent;
     record.entry = entry;
@@ -182,18 +190,64 @@
                           actions& out)
 {
     record.touched = now;
-    const std::uint32_t end = value.sequence + value.payload_size;
-    if (value.payload_size > 0 && (record.client_sequence == 0 || is_after(end, record.client_sequence))) {
-        record.client_sequence = end;
-        set_busy(record, true, now);
-    }
     set_closing(record, record.client_fin || value.fin, record.host_fin);
-    out.push_back(send_to_host{bytes, value.entry});
+    if (may_deliver(record, value, bytes, now, out)) {
+        out.push_back(send_to_host{bytes, value.entry});
+    }
     if (value.hops > 0 && record.phase == flow_phase::held) {
         confirm(value.flow, value.entry, out);
     }
 }
 
+bool agent_relay::may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                              actions& out)
+{
+    if (m_gate.is_waiting(value.flow)) {
+        // An acknowledgement alone may overtake the request.
+        const bool is_part = value.payload_size > 0 || value.fin;
+        return !is_part || m_gate.on_more(value.flow, value.sequence, bytes);
+    }
+    const std::uint32_t end = value.sequence + value.payload_size;
+    const bool is_first = record.client_sequence == 0;
+    if (value.payload_size == 0 || (!is_first && !is_after(end, record.client_sequence))) {
+        return true;
+    }
+    record.client_sequence = end;
+    set_busy(value.flow, record, true, now);
+    if (record.in_service) {
+        return true;
+    }
+    request_urgency urgency;
+    urgency.sent_at = is_first && record.opened_at != core::time_point{} ? record.opened_at : now;
+    if (const auto* route = m_view.find_route(value.flow.service, value.flow.service_port)) {
+        urgency.target_latency = route->value.target_latency;
+        urgency.timeout = route->value.timeout;
+        urgency.priority = route->value.priority;
+    }
+    record.in_service = m_gate.on_request(value.flow, urgency, value.sequence, bytes, slots(), now);
+    if (!record.in_service) {
+        out.push_back(decision_record{decision::request_waits, value.flow, {}, 0, load(), "slots_busy"});
+    }
+    return record.in_service;
+}
+
+void agent_relay::release_requests(core::time_point now, actions& out)
+{
+    for (auto& request : m_gate.release(slots(), now)) {
+        const auto it = m_flows.find(request.flow);
+        if (it == m_flows.end()) {
+            m_gate.on_end(request.flow);
+            continue;
+        }
+        it->second.in_service = true;
+        for (auto& bytes : request.packets) {
+            out.push_back(send_to_host{{}, it->second.entry, std::move(bytes)});
+        }
+        out.push_back(
+            decision_record{decision::request_released, request.flow, {}, 0, load(), "slot_free", request.waited});
+    }
+}
+
 void agent_relay::on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
 {
     auto& record = m_flows[value.flow];
@@ -221,8 +275,7 @@
     for (const auto peer : record.asked) {
         out.push_back(send_to_agent{peer, bytes, value.entry, 1, packet_path::search});
     }
-    // Kept for the reset if nobody holds the flow.
-    record.client_sequence = value.acknowledgement;
+    record.reset_sequence = value.acknowledgement;
 }
 
 void agent_relay::on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
@@ -278,9 +331,10 @@
         record.host_sequence = end;
     }
     if (value.payload_size > 0 || value.fin || value.rst) {
-        set_busy(record, false, now);
+        set_busy(value.flow, record, false, now);
     }
     set_closing(record, record.client_fin || value.rst, record.host_fin || value.fin || value.rst);
+    release_requests(now, out);
 }
 
 void agent_relay::on_returned(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
@@ -324,7 +378,7 @@
     closed.accepts = false;
     const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers) : nullptr;
     if (!pass_on(value.flow, bytes, opening.entry, opening.hops, peer, "host_returned", now, out)) {
-        set_busy(m_flows[value.flow], false, now);
+        set_busy(value.flow, m_flows[value.flow], false, now);
         m_flows.erase(value.flow);
         out.push_back(reset_client{value.flow, 0});
         out.push_back(decision_record{decision::refused, value.flow, {}, opening.hops, load(), "host_returned"});
@@ -344,7 +398,7 @@
 void agent_relay::lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
                        core::time_point now, actions& out)
 {
-    set_busy(record, false, now);
+    set_busy(flow, record, false, now);
     set_phase(record, flow_phase::lost, now);
     record.touched = now;
     out.push_back(reset_client{flow, sequence});
@@ -358,7 +412,7 @@
     } else if (const auto* found = std::get_if<flow_found>(&value)) {
         auto& record = m_flows[found->flow];
         if (record.phase != flow_phase::held) {
-            set_busy(record, false, now);
+            set_busy(found->flow, record, false, now);
             set_phase(record, flow_phase::elsewhere, now);
             record.peer = from;
             record.touched = now;
@@ -371,7 +425,7 @@
         auto& asked = it->second.asked;
         asked.erase(std::remove(asked.begin(), asked.end(), from), asked.end());
         if (asked.empty()) {
-            lose(it->second, unknown->flow, it->second.client_sequence, "held_nowhere", now, out);
+            lose(it->second, unknown->flow, it->second.reset_sequence, "held_nowhere", now, out);
         }
     }
 }
@@ -380,7 +434,7 @@
 {
     for (auto& [flow, record] : m_flows) {
         if (record.phase == flow_phase::held) {
-            set_busy(record, false, now);
+            set_busy(flow, record, false, now);
             set_phase(record, flow_phase::lost, now);
             record.touched = now;
         }
@@ -392,6 +446,7 @@
 {
     m_sent_again.clear();
     check_openings(now, out);
+    release_requests(now, out);
     report(now, out);
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
@@ -422,7 +477,7 @@
         m_sent_again.push_back(opening.bytes);
         const wire::bytes_view bytes{m_sent_again.back().data(), opening_packet_size};
         if (!pass_on(opening.flow, bytes, opening.entry, opening.hops, peer, "host_unanswered", now, out)) {
-            set_busy(it->second, false, now);
+            set_busy(opening.flow, it->second, false, now);
             m_flows.erase(it);
             out.push_back(
                 decision_record{decision::unanswered, opening.flow, {}, opening.hops, load(), "no_peer_accepts"});
@@ -469,7 +524,7 @@
         auto& record = it->second;
         const auto age = now - record.touched;
         if (record.busy && now - record.busy_since > default_busy_limit) {
-            set_busy(record, false, now);
+            set_busy(it->first, record, false, now);
         }
         if (record.phase == flow_phase::probing && now - record.phase_since > probing_time && !m_suspected) {
             set_phase(record, flow_phase::held, now);
@@ -478,7 +533,7 @@
         const bool is_lost = record.phase == flow_phase::lost && age > lost_flow_time;
         const bool is_stuck = record.phase == flow_phase::opening && age > closed_flow_time;
         if (is_closed || is_lost || is_stuck || age > idle) {
-            set_busy(record, false, now);
+            set_busy(it->first, record, false, now);
             set_phase(record, flow_phase::lost, now);
             it = m_flows.erase(it);
         } else {
@@ -494,7 +549,7 @@
     }
 }
 
-void agent_relay::set_busy(flow_record& record, bool busy, core::time_point now) noexcept
+void agent_relay::set_busy(const flow_key& flow, flow_record& record, bool busy, core::time_point now)
 {
     if (record.busy != busy) {
         record.busy = busy;
@@ -502,7 +557,10 @@
     }
     if (busy) {
         record.busy_since = now;
+        return;
     }
+    record.in_service = false;
+    m_gate.on_end(flow);
 }
 
 void agent_relay::set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept
@@ -526,10 +584,12 @@
     return record.phase == flow_phase::held && !record.client_fin && !record.host_fin;
 }
 
-host_load agent_relay::load() const noexcept
+host_load agent_relay::load() const noexcept { return {m_in_flight, m_open_flows, slots(), accepts()}; }
+
+std::uint32_t agent_relay::slots() const noexcept
 {
     const auto* own = m_view.find_host(m_options.self);
-    return {m_in_flight, m_open_flows, own != nullptr ? own->value.slots : 1, accepts()};
+    return own != nullptr ? own->value.slots : 1;
 }
 
 bool agent_relay::accepts() const noexcept
--- /dev/null
+++ b/src/relay/work_gate.cpp
@@ -0,0 +1,114 @@
+#include "daisydoor/relay/work_gate.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+/// Expected time from the delivery of a request to its answer; with less left, it will be late.
+constexpr core::milliseconds expected_service{60};
+
+bool is_on_time(const request_urgency& urgency, core::time_point now) noexcept
+{
+    return now + expected_service < urgency.sent_at + urgency.target_latency;
+}
+
+bool has_left(const request_urgency& urgency, core::time_point now) noexcept
+{
+    return urgency.timeout.count() > 0 && now >= urgency.sent_at + urgency.timeout;
+}
+
+} // namespace
+
+bool work_gate::on_request(const flow_key& flow, const request_urgency& urgency, std::uint32_t sequence,
+                           wire::bytes_view bytes, std::uint32_t slots, core::time_point now)
+{
+    forget_slow(now);
+    const bool has_room = m_waiting.empty() && m_in_service.size() < slots + gate_surplus;
+    if (has_room || m_waiting.size() >= max_waiting_requests) {
+        m_in_service.push_back({flow, now});
+        return true;
+    }
+    auto& entry = m_waiting[flow];
+    entry.urgency = urgency;
+    entry.arrived = now;
+    entry.number = m_next_number++;
+    entry.packets.emplace_back(bytes.data, bytes.data + bytes.size);
+    entry.sequences.push_back(sequence);
+    return false;
+}
+
+bool work_gate::on_more(const flow_key& flow, std::uint32_t sequence, wire::bytes_view bytes)
+{
+    const auto it = m_waiting.find(flow);
+    if (it == m_waiting.end()) {
+        return true;
+    }
+    auto& entry = it->second;
+    const bool is_copy = std::find(entry.sequences.begin(), entry.sequences.end(), sequence) != entry.sequences.end();
+    if (!is_copy && entry.packets.size() < max_waiting_packets) {
+        entry.packets.emplace_back(bytes.data, bytes.data + bytes.size);
+        entry.sequences.push_back(sequence);
+    }
+    return false;
+}
+
+void work_gate::on_end(const flow_key& flow)
+{
+    m_waiting.erase(flow);
+    const auto it =
+        std::find_if(m_in_service.begin(), m_in_service.end(), [&flow](const service& it) { return it.flow == flow; });
+    if (it != m_in_service.end()) {
+        m_in_service.erase(it);
+    }
+}
+
+std::vector<work_gate::released> work_gate::release(std::uint32_t slots, core::time_point now)
+{
+    std::vector<released> result;
+    if (m_waiting.empty()) {
+        return result;
+    }
+    forget_slow(now);
+    drop_expired(now);
+    while (!m_waiting.empty() && m_in_service.size() < slots + gate_surplus) {
+        const auto it = std::min_element(m_waiting.begin(), m_waiting.end(), [this, now](const auto& a, const auto& b) {
+            return goes_before(a.second, b.second, now);
+        });
+        const auto waited = std::chrono::duration_cast<core::milliseconds>(now - it->second.arrived);
+        result.push_back({it->first, std::move(it->second.packets), waited});
+        m_in_service.push_back({it->first, now});
+        m_waiting.erase(it);
+    }
+    return result;
+}
+
+bool work_gate::goes_before(const waiting_request& a, const waiting_request& b, core::time_point now) const
+{
+    const auto rank = [now](const waiting_request& it) {
+        return std::make_tuple(!is_on_time(it.urgency, now), it.urgency.priority, it.number);
+    };
+    return rank(a) < rank(b);
+}
+
+void work_gate::forget_slow(core::time_point now)
+{
+    while (!m_in_service.empty() && now - m_in_service.front().since > gate_service_limit) {
+        m_in_service.pop_front();
+    }
+}
+
+void work_gate::drop_expired(core::time_point now)
+{
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const bool expired = has_left(it->second.urgency, now);
+        it = expired ? m_waiting.erase(it) : std::next(it);
+        m_expired += expired ? 1 : 0;
+    }
+}
+
+} // namespace daisydoor::relay
--- a/src/runtime/packet_socket.cpp
+++ b/src/runtime/packet_socket.cpp
@@ -91,6 +91,13 @@
     m_send_headers[m_queued - 1].msg_hdr.msg_iovlen = slot.parts[1].iov_len > 0 ? 2 : 1;
 }
 
+void packet_socket::queue_marked(relay::ipv4 to, std::uint16_t port, wire::buffer packet,
+                                 const platform::routing_mark& mark)
+{
+    platform::mark_packet(packet.data(), mark);
+    queue_owned(to, port, std::move(packet));
+}
+
 void packet_socket::queue(relay::ipv4 to, std::uint16_t port, wire::bytes_view bytes)
 {
     auto& slot = next_slot(to, port);
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -242,8 +242,8 @@
 
 void relay_task::execute()
 {
-    for (const auto& it : m_actions) {
-        std::visit([this](const auto& value) { perform(value); }, it);
+    for (auto& it : m_actions) {
+        std::visit([this](auto& value) { perform(value); }, it);
     }
     m_actions.clear();
 }
@@ -262,9 +262,14 @@
     m_packets.queue_marked(value.agent, m_settings.packets.port, value.bytes, {value.entry, value.hops, value.path});
 }
 
-void relay_task::perform(const relay::send_to_host& value)
+void relay_task::perform(relay::send_to_host& value)
 {
-    m_host_packets->queue_marked(m_host, m_settings.agent->host.port, value.bytes, {value.entry, 0, {}});
+    const platform::routing_mark mark{value.entry, 0, relay::packet_path::direct};
+    if (value.owned.empty()) {
+        m_host_packets->queue_marked(m_host, m_settings.agent->host.port, value.bytes, mark);
+    } else {
+        m_host_packets->queue_marked(m_host, m_settings.agent->host.port, std::move(value.owned), mark);
+    }
 }
 
 void relay_task::perform(const relay::send_to_client& value)
@@ -303,6 +308,9 @@
         " slots=" + std::to_string(value.load.slots) + " reason=" + std::string(value.reason) +
         " version=" + std::to_string(static_cast<std::uint64_t>(m_view.version())) +
         " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision()));
+    if (value.waited.count() > 0) {
+        details += " waited_ms=" + std::to_string(value.waited.count());
+    }
     if (m_log_suppressed > 0) {
         details += " suppressed=" + std::to_string(std::exchange(m_log_suppressed, 0));
     }
--- /dev/null
+++ b/tests/unit/unit-relay-entry.cpp
@@ -0,0 +1,190 @@
+#include "daisydoor/relay/codec.hpp"
+#include "daisydoor/relay/entry_relay.hpp"
+
+#include "relay_fixture.hpp"
+
+namespace daisydoor::relay
+{
+namespace
+{
+
+class entry_relay_test : public relay_fixture
+{
+  protected:
+    entry_relay_test()
+    {
+        set_routes(m_view, {make_route({{"svc", 1}})});
+        for (std::uint32_t n = 1; n <= 3; ++n) {
+            add_host(m_view, make_host(n));
+        }
+    }
+
+    void on_packet(const packet& value)
+    {
+        m_actions.clear();
+        m_entry.on_packet(value, bytes(), m_now, m_actions);
+    }
+
+    void tick(core::milliseconds time)
+    {
+        advance(time);
+        m_actions.clear();
+        m_entry.on_tick(m_now, m_actions);
+    }
+
+    void confirm(ipv4 agent, const flow_key& flow)
+    {
+        m_entry.on_message(agent, flow_found{flow, {}}, m_now, m_actions);
+    }
+
+    /// Places a flow and returns the agent.
+    ipv4 place(const flow_key& flow)
+    {
+        on_packet(make_syn(flow));
+        const auto sent = take<send_to_agent>();
+        EXPECT_EQ(sent.size(), 1U);
+        return sent.empty() ? ipv4{} : sent[0].agent;
+    }
+
+    fleet_view m_view{"a"};
+    entry_relay m_entry{entry_address, m_view};
+};
+
+// Guards against packets of one flow that go to different agents.
+TEST_F(entry_relay_test, packets_follow_their_opening_packet)
+{
+    const auto agent = place(make_flow());
+    confirm(agent, make_flow());
+    on_packet(make_packet(make_flow()));
+    EXPECT_EQ(take<send_to_agent>().at(0).agent, agent);
+    EXPECT_EQ(take<send_to_agent>().at(0).entry, entry_address);
+}
+
+// Guards against packets that keep going to the agent which passed the flow on.
+TEST_F(entry_relay_test, packets_follow_the_agent_that_confirms)
+{
+    const auto first = place(make_flow());
+    const auto other = first == agent_address(1) ? agent_address(2) : agent_address(1);
+    confirm(other, make_flow());
+    on_packet(make_packet(make_flow()));
+    EXPECT_EQ(take<send_to_agent>().at(0).agent, other);
+}
+
+// Guards against clients that wait 200 ms for a dead agent.
+TEST_F(entry_relay_test, unconfirmed_flow_is_placed_at_another_agent)
+{
+    const auto first = place(make_flow());
+    tick(placement_timeout);
+    const auto again = take<send_to_agent>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_NE(again[0].agent, first);
+    EXPECT_EQ(again[0].bytes.size, opening_packet_size);
+}
+
+// Guards against flows that are sent to a dead agent again and again.
+TEST_F(entry_relay_test, agent_that_misses_twice_is_tried_last)
+{
+    const auto first = place(make_flow(40000));
+    std::uint16_t port = 40001;
+    std::uint32_t misses = 1;
+    tick(placement_timeout);
+    confirm(take<send_to_agent>().at(0).agent, make_flow(40000));
+    for (; misses < agent_miss_limit; ++port) {
+        const auto agent = place(make_flow(port));
+        if (agent == first) {
+            ++misses;
+            tick(placement_timeout);
+            confirm(take<send_to_agent>().at(0).agent, make_flow(port));
+        } else {
+            confirm(agent, make_flow(port));
+        }
+    }
+    for (std::uint16_t i = 0; i < 30; ++i) {
+        const auto agent = place(make_flow(static_cast<std::uint16_t>(50000 + i)));
+        EXPECT_NE(agent, first);
+        confirm(agent, make_flow(static_cast<std::uint16_t>(50000 + i)));
+    }
+}
+
+// Guards against copies of one opening packet that fill several hosts.
+TEST_F(entry_relay_test, copy_of_opening_packet_goes_to_same_agent)
+{
+    const auto first = place(make_flow());
+    confirm(first, make_flow());
+    on_packet(make_syn(make_flow(), 1));
+    EXPECT_EQ(take<send_to_agent>().at(0).agent, first);
+}
+
+// Guards against clients that wait although no host can serve them.
+TEST_F(entry_relay_test, open_without_usable_host_is_refused_at_once)
+{
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        remove_host(m_view, "i-" + std::to_string(n));
+    }
+    on_packet(make_syn(make_flow()));
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
+// Guards against flows that a dropped route keeps alive, and against resets of flows whose route is not known yet.
+TEST_F(entry_relay_test, packet_without_route_is_reset_only_if_route_was_dropped)
+{
+    auto unknown = make_flow();
+    unknown.service_port = 9;
+    on_packet(make_packet(unknown));
+    EXPECT_TRUE(take<reset_client>().empty());
+    set_routes(m_view, {});
+    on_packet(make_packet(make_flow()));
+    ASSERT_EQ(take<reset_client>().size(), 1U);
+    EXPECT_EQ(take<reset_client>()[0].sequence, make_packet(make_flow()).acknowledgement);
+}
+
+// Guards against entries that disagree where to ask for a flow that none of them knows.
+TEST_F(entry_relay_test, unknown_flow_goes_to_same_agent_from_every_entry)
+{
+    on_packet(make_packet(make_flow()));
+    const auto first = take<send_to_agent>().at(0).agent;
+    fleet_view other_view{"b"};
+    other_view.apply(m_view.snapshot(), m_now);
+    entry_relay other{ipv4{1}, other_view};
+    m_actions.clear();
+    other.on_packet(make_packet(make_flow()), bytes(), m_now, m_actions);
+    EXPECT_EQ(take<send_to_agent>().at(0).agent, first);
+}
+
+// Guards against decisions before anything is known.
+TEST_F(entry_relay_test, packet_before_configuration_is_dropped)
+{
+    const fleet_view empty{"a"};
+    entry_relay entry{entry_address, empty};
+    m_actions.clear();
+    entry.on_packet(make_syn(make_flow()), bytes(), m_now, m_actions);
+    EXPECT_TRUE(m_actions.empty());
+}
+
+// Guards against memory that grows with every flow that ever was.
+TEST_F(entry_relay_test, idle_flow_is_forgotten)
+{
+    confirm(place(make_flow()), make_flow());
+    EXPECT_EQ(m_entry.flow_count(), 1U);
+    tick(core::milliseconds(60'000));
+    EXPECT_EQ(m_entry.flow_count(), 0U);
+}
+
+// Guards against messages that arrive changed, and against reads beyond a malformed one.
+TEST(relay_codec_test, message_survives_and_cut_message_is_rejected)
+{
+    const flow_key flow{ipv4{1}, ipv4{2}, 3, 4};
+    const auto encoded = encode_message(flow_found{flow, {5, 6, 7, true}});
+    const auto decoded = decode_message({encoded.data(), encoded.size()});
+    ASSERT_TRUE(decoded);
+    const auto& found = std::get<flow_found>(*decoded);
+    EXPECT_TRUE(found.flow == flow);
+    EXPECT_EQ(found.load.open_flows, 6U);
+    EXPECT_TRUE(found.load.accepts);
+    for (std::size_t n = 0; n < encoded.size() / 2; ++n) {
+        EXPECT_FALSE(decode_message({encoded.data(), n})) << n;
+    }
+}
+
+} // namespace
+} // namespace daisydoor::relay
--- /dev/null
+++ b/tests/unit/unit-relay-view.cpp
@@ -0,0 +1,267 @@
+#include "daisydoor/relay/fleet_view.hpp"
+#include "daisydoor/relay/placement.hpp"
+#include "daisydoor/relay/store_reader.hpp"
+
+#include "relay_fixture.hpp"
+
+namespace daisydoor::relay
+{
+namespace
+{
+
+class fleet_view_test : public relay_fixture
+{
+  protected:
+    fleet_view_test()
+    {
+        set_routes(m_view, {make_route({{"svc", 1}})});
+        add_host(m_view, make_host(1));
+    }
+
+    bool has_host(const std::string& id) const { return m_view.hosts().count(id) != 0; }
+
+    fleet_view m_view{"a"};
+};
+
+// Guards against a configuration that goes back when an older one arrives late.
+TEST_F(fleet_view_test, older_routes_change_nothing)
+{
+    set_routes(m_view, {make_route({{"newer", 1}})});
+    route_set older;
+    older.version = route_version{1};
+    fleet_update update;
+    update.revision = revision{100};
+    update.changes.push_back({update.revision, older});
+    m_view.apply(update, m_now);
+    EXPECT_EQ(m_view.version(), route_version{2});
+    EXPECT_NE(m_view.find_route(service_address, service_port), nullptr);
+}
+
+// Guards against a removed host that returns with a repeated, older message.
+TEST_F(fleet_view_test, older_update_does_not_return_removed_host)
+{
+    fleet_update older = m_view.snapshot();
+    remove_host(m_view, "i-1");
+    m_view.apply(older, m_now);
+    EXPECT_FALSE(has_host("i-1"));
+}
+
+// Guards against hosts that stay after the history between two whole reads was lost.
+TEST_F(fleet_view_test, whole_update_removes_hosts_that_it_does_not_name)
+{
+    fleet_update update;
+    update.revision = revision{100};
+    update.whole = true;
+    update.changes.push_back({revision{50}, make_host(2)});
+    m_view.apply(update, m_now);
+    EXPECT_FALSE(has_host("i-1"));
+    EXPECT_TRUE(has_host("i-2"));
+}
+
+// Guards against the loss of live hosts whose entries lapsed while the platform was away.
+TEST_F(fleet_view_test, entry_that_lapsed_during_outage_is_used_until_grace_ends)
+{
+    m_view.platform_regained(m_now);
+    advance(core::milliseconds(100));
+    remove_host(m_view, "i-1");
+    EXPECT_TRUE(has_host("i-1"));
+    advance(lapse_time);
+    EXPECT_EQ(m_view.expire(m_now), 1U);
+    EXPECT_FALSE(has_host("i-1"));
+}
+
+// Guards against a host that is dropped although its entry is back.
+TEST_F(fleet_view_test, entry_that_returns_is_kept)
+{
+    m_view.platform_regained(m_now);
+    remove_host(m_view, "i-1");
+    add_host(m_view, make_host(1));
+    advance(lapse_time);
+    EXPECT_EQ(m_view.expire(m_now), 0U);
+    EXPECT_TRUE(has_host("i-1"));
+}
+
+// Guards against flows at a host that had said before the outage that it would leave.
+TEST_F(fleet_view_test, draining_host_that_vanishes_is_removed_at_once)
+{
+    auto value = make_host(1);
+    value.state = host_state::draining;
+    add_host(m_view, value);
+    m_view.platform_regained(m_now);
+    remove_host(m_view, "i-1");
+    EXPECT_FALSE(has_host("i-1"));
+}
+
+// Guards against packets for a former host at an address that was given to another service.
+TEST_F(fleet_view_test, reused_address_names_newest_incarnation)
+{
+    auto value = make_host(9, "other");
+    value.address = agent_address(1);
+    value.born = 5000;
+    add_host(m_view, value);
+    EXPECT_EQ(m_view.find_host(agent_address(1))->value.id, "i-9");
+}
+
+// Guards against open flows that cannot be found after their route was given to another service.
+TEST_F(fleet_view_test, changed_route_remembers_former_service)
+{
+    set_routes(m_view, {make_route({{"other", 1}})});
+    const auto* route = m_view.find_route(service_address, service_port);
+    ASSERT_EQ(route->former.size(), 1U);
+    EXPECT_EQ(m_view.hosts_of(route->former[0]).size(), 1U);
+}
+
+// Guards against a dropped route that is mistaken for one that is not known yet.
+TEST_F(fleet_view_test, dropped_route_is_remembered_until_it_returns)
+{
+    set_routes(m_view, {});
+    EXPECT_TRUE(m_view.is_dropped_route(service_address, service_port));
+    EXPECT_FALSE(m_view.is_dropped_route(service_address, 1));
+    set_routes(m_view, {make_route({{"svc", 1}})});
+    EXPECT_FALSE(m_view.is_dropped_route(service_address, service_port));
+}
+
+// Guards against weights that are ignored, and against processes that choose differently.
+TEST_F(fleet_view_test, services_of_route_get_their_weights)
+{
+    set_routes(m_view, {make_route({{"svc", 90}, {"other", 10}})});
+    const auto* route = m_view.find_route(service_address, service_port);
+    const auto first = m_view.find_service("svc");
+    int n = 0;
+    for (std::uint16_t i = 0; i < 10'000; ++i) {
+        n += fleet_view::choose_service(*route, hash_of(make_flow(i))) == *first ? 1 : 0;
+    }
+    EXPECT_NEAR(n, 9000, 200);
+}
+
+class placement_test : public relay_fixture
+{
+  protected:
+    static bool never(ipv4 /*agent*/) { return false; }
+
+    fleet_view m_view{"a"};
+};
+
+// Guards against traffic between availability zones where the own one has hosts.
+TEST_F(placement_test, choose_host_prefers_own_zone)
+{
+    set_routes(m_view, {make_route({{"svc", 1}})});
+    add_host(m_view, make_host(1, "svc", "b"));
+    add_host(m_view, make_host(2, "svc", "a"));
+    const auto* route = m_view.find_route(service_address, service_port);
+    for (std::uint16_t i = 0; i < 50; ++i) {
+        EXPECT_EQ(choose_host(m_view, *route, hash_of(make_flow(i)), never, never)->value.id, "i-2");
+    }
+    const auto* other = choose_host(
+        m_view, *route, 1, [](ipv4 agent) { return agent == agent_address(2); }, never);
+    EXPECT_EQ(other->value.id, "i-1");
+}
+
+// Guards against new flows at hosts that leave, and against an answer where there is no host.
+TEST_F(placement_test, choose_host_skips_draining_hosts)
+{
+    set_routes(m_view, {make_route({{"svc", 1}})});
+    auto value = make_host(1);
+    value.state = host_state::draining;
+    add_host(m_view, value);
+    const auto* route = m_view.find_route(service_address, service_port);
+    EXPECT_EQ(choose_host(m_view, *route, 1, never, never), nullptr);
+    EXPECT_NE(choose_holder(m_view, *route, 1, never), nullptr);
+}
+
+// Guards against equal hosts that trade flows, with reports 100 ms old.
+TEST_F(placement_test, choose_less_busy_keeps_flow_among_equals)
+{
+    const host_load own{3, 40, 5, true};
+    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {2, 42, 5, true}, true, 0}}), nullptr);
+    EXPECT_NE(choose_less_busy(own, {{agent_address(2), {0, 40, 5, true}, true, 0}}), nullptr);
+    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {0, 40, 5, true}, false, 0}}), nullptr);
+}
+
+// Guards against all flows of a burst going to the peer that was free at the last report.
+TEST_F(placement_test, choose_less_busy_counts_flows_passed_since_report)
+{
+    const host_load own{5, 0, 5, true};
+    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {0, 0, 5, true}, true, 5}}), nullptr);
+}
+
+class store_reader_test : public relay_fixture
+{
+  protected:
+    void answer(store_call call, std::uint64_t at, bool has_more = false)
+    {
+        const auto request = m_reader.next(m_now);
+        ASSERT_TRUE(request);
+        ASSERT_EQ(request->call, call);
+        fleet_update update;
+        update.revision = revision{at};
+        m_progress = m_reader.on_result(store_result::answered, update, has_more, "servers/x", m_now);
+    }
+
+    void fail()
+    {
+        ASSERT_TRUE(m_reader.next(m_now));
+        m_progress = m_reader.on_result(store_result::failed, {}, false, "", m_now);
+    }
+
+    void read_all()
+    {
+        answer(store_call::read_routes, 10);
+        answer(store_call::read_hosts, 12, true);
+        answer(store_call::read_hosts, 14);
+    }
+
+    store_reader m_reader;
+    store_progress m_progress;
+};
+
+// Guards against changes that fall between the pages of a read, which are no snapshot.
+TEST_F(store_reader_test, watch_continues_from_first_page)
+{
+    read_all();
+    ASSERT_TRUE(m_progress.update);
+    EXPECT_TRUE(m_progress.update->whole);
+    EXPECT_EQ(m_progress.update->revision, revision{10});
+    const auto request = m_reader.next(m_now);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->call, store_call::watch);
+    EXPECT_EQ(request->revision, revision{10});
+}
+
+// Guards against a process that stops to read when the platform has dropped its history.
+TEST_F(store_reader_test, lost_history_reads_everything_again)
+{
+    read_all();
+    ASSERT_TRUE(m_reader.next(m_now));
+    m_reader.on_result(store_result::history_lost, {}, false, "", m_now);
+    EXPECT_EQ(m_reader.next(m_now)->call, store_call::read_routes);
+}
+
+// Guards against many processes that call a failing platform without a pause.
+TEST_F(store_reader_test, failures_back_off_and_report_once)
+{
+    fail();
+    EXPECT_TRUE(m_progress.lost);
+    EXPECT_FALSE(m_reader.next(m_now));
+    advance(retry_pause);
+    fail();
+    EXPECT_FALSE(m_progress.lost);
+    advance(retry_pause);
+    EXPECT_FALSE(m_reader.next(m_now));
+    advance(retry_pause);
+    answer(store_call::read_routes, 1);
+    EXPECT_TRUE(m_progress.regained);
+}
+
+// Guards against a process that waits for an answer which was lost while it stood still.
+TEST_F(store_reader_test, pause_starts_call_at_once)
+{
+    read_all();
+    ASSERT_TRUE(m_reader.next(m_now));
+    EXPECT_FALSE(m_reader.next(m_now));
+    m_reader.on_pause(m_now);
+    EXPECT_EQ(m_reader.next(m_now)->call, store_call::watch);
+}
+
+} // namespace
+} // namespace daisydoor::relay
