--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -36,7 +36,27 @@
     flow_key flow;
 };
 
-using message = std::variant<host_load, flow_found, flow_unknown>;
+/// @brief Asks for what changed after a revision; repeated while the sender wants to be told of changes.
+struct fleet_subscribe
+{
+    relay::revision revision{};
+};
+
+/// @brief Answers a subscription, at once and on every change.
+struct fleet_news
+{
+    /// Time since the platform last confirmed the sender's state.
+    core::milliseconds age{0};
+    /// Time since the platform came back after it could not be reached; the maximum if it never was away.
+    core::milliseconds regained{0};
+    /// Revision that the changes follow; the update is useless to a receiver that is behind it.
+    relay::revision after{};
+    /// Whether the changes are too large for a datagram and must be fetched.
+    bool fetch = false;
+    fleet_update update;
+};
+
+using message = std::variant<host_load, flow_found, flow_unknown, fleet_subscribe, fleet_news>;
 
 /// @brief Passes a packet to the agent at an address.
 /// The bytes stay valid until the next call of the core that returned the action.
@@ -78,6 +98,12 @@
     relay::message value;
 };
 
+/// @brief Fetches the whole fleet view of another process.
+struct fetch_view
+{
+    ipv4 from{};
+};
+
 /// @brief What a core decided about a flow or believes of a peer, for the log.
 enum class decision : std::uint8_t
 {
@@ -116,7 +142,8 @@
     core::milliseconds waited{0};
 };
 
-using action = std::variant<send_to_agent, send_to_host, send_to_client, reset_client, send_message, decision_record>;
+using action =
+    std::variant<send_to_agent, send_to_host, send_to_client, reset_client, send_message, fetch_view, decision_record>;
 using actions = std::vector<action>;
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -50,6 +50,11 @@
 {
     std::string service;
     std::uint32_t weight = 1;
+
+    friend bool operator==(const weighted_service& a, const weighted_service& b) noexcept
+    {
+        return a.weight == b.weight && a.service == b.service;
+    }
 };
 
 enum class request_kind : std::uint8_t
@@ -71,6 +76,12 @@
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
     std::vector<weighted_service> services;
+
+    friend bool operator==(const route& a, const route& b) noexcept
+    {
+        return a.address == b.address && a.port == b.port && a.kind == b.kind && a.timeout == b.timeout &&
+               a.target_latency == b.target_latency && a.priority == b.priority && a.services == b.services;
+    }
 };
 
 /// @brief The operator's configuration of one version, in full.
@@ -82,6 +93,17 @@
     core::milliseconds idle_timeout{0};
 };
 
+/// @brief Difference between two versions of the routes; useless to a process that does not hold the former one.
+struct route_delta
+{
+    route_version base{};
+    route_version version{};
+    std::vector<route> changed;
+    /// Only address and port are set.
+    std::vector<route> dropped;
+    core::milliseconds idle_timeout{0};
+};
+
 /// @brief A host's entry was removed, or holds nothing that names a host.
 struct host_removed
 {
@@ -92,7 +114,7 @@
 struct fleet_change
 {
     relay::revision revision{};
-    std::variant<host, host_removed, route_set> value;
+    std::variant<host, host_removed, route_set, route_delta> value;
 };
 
 /// @brief Part of the published state, as read from the platform or told by a peer.
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -2,7 +2,9 @@
 
 #include "daisydoor/relay/fleet.hpp"
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,6 +59,8 @@
 {
     bool routes = false;
     std::size_t hosts = 0;
+    /// The update holds a difference from routes that are not held: the whole state must be fetched.
+    bool needs_whole = false;
 };
 
 /// @brief Routes and hosts as one process knows them. Versions and revisions only go up.
@@ -71,8 +75,11 @@
     /// @brief Applies an update; older values change nothing.
     view_change apply(const fleet_update& update, core::time_point now);
 
-    /// @brief The platform answers again after it could not be reached.
-    void platform_regained(core::time_point now) noexcept { m_regained_at = now; }
+    /// @brief The platform answers again since `at`, after it could not be reached.
+    void platform_regained(core::time_point at) noexcept
+    {
+        m_regained_at = m_regained_at ? std::max(*m_regained_at, at) : at;
+    }
 
     /// @brief Removes hosts whose grace period is over.
     /// @return the number of hosts removed
@@ -106,6 +113,12 @@
     /// @brief The whole state as an update, for a peer that holds nothing.
     [[nodiscard]] fleet_update snapshot() const;
 
+    /// @brief What changed after a revision, or nullopt if that is no longer known.
+    [[nodiscard]] std::optional<fleet_update> changes_after(relay::revision after) const;
+
+    /// @brief Time since the platform came back, or nullopt if it never was away.
+    [[nodiscard]] std::optional<core::time_point> regained_at() const noexcept { return m_regained_at; }
+
   private:
     using route_key = std::uint64_t;
 
@@ -114,6 +127,10 @@
     bool apply_host(const host& value, relay::revision at);
     bool apply_removal(const std::string& id, relay::revision at, core::time_point now);
     bool apply_routes(const route_set& value, relay::revision at);
+    bool apply_delta(const route_delta& value, relay::revision at);
+    [[nodiscard]] std::vector<route> sorted_routes() const;
+    void remember(const std::vector<fleet_change>& changes, route_version routes_before,
+                  const std::vector<route>& before);
     void index_hosts();
 
     std::string m_own_zone;
@@ -128,6 +145,9 @@
     std::map<std::string, known_host> m_hosts;
     std::vector<std::vector<const known_host*>> m_by_service;
     std::unordered_map<std::uint32_t, const known_host*> m_by_address;
+    /// Changes after m_log_start, oldest first; bounded.
+    std::deque<fleet_change> m_log;
+    relay::revision m_log_start{};
 };
 
 /// Entries that lapsed while the platform was away are back within about this time (PROTOCOL page, "Service
--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -12,7 +12,9 @@
 
 /// Waits of the platform end this soon, so that a connection that went silent shows within the time in which a change
 /// must be in force (ConfigApplyMs, at least 3 s).
-constexpr core::milliseconds watch_wait{1500};
+constexpr core::milliseconds watch_wait{1100};
+/// Wait of a process that only checks whether it has missed a change.
+constexpr core::milliseconds check_wait{10};
 /// Time for an answer beyond the wait that the call names.
 constexpr core::milliseconds answer_timeout{700};
 /// Pause between a change and the next call, so that changes in series share calls.
@@ -20,6 +22,20 @@
 /// Pause after a failed call; doubles up to the maximum.
 constexpr core::milliseconds retry_pause{100};
 constexpr core::milliseconds max_retry_pause{800};
+/// Maximum for processes that only check; they are many.
+constexpr core::milliseconds max_check_pause{3200};
+
+/// @brief How much a process reads the platform.
+enum class read_mode : std::uint8_t
+{
+    /// Others tell what changes.
+    off,
+    /// Asks once whether something was missed.
+    check,
+    /// Watches all the time.
+    watch,
+};
+constexpr std::array<std::string_view, 3> read_mode_names{"off", "check", "watch"};
 
 enum class store_call : std::uint8_t
 {
@@ -47,6 +63,8 @@
     std::string after;
     /// Revision after which the watch begins.
     relay::revision revision{};
+    /// Time that a watch waits for a change.
+    core::milliseconds wait{0};
     core::milliseconds timeout{0};
 };
 
@@ -77,6 +95,12 @@
     store_progress on_result(store_result result, fleet_update update, bool has_more, const std::string& last_key,
                              core::time_point now);
 
+    /// @brief Changes how much the process reads.
+    /// @param held revision up to which the process knows everything; 0 if it holds nothing
+    void set_mode(read_mode mode, relay::revision held, core::time_point now) noexcept;
+
+    [[nodiscard]] read_mode mode() const noexcept { return m_mode; }
+
     /// @brief The process was paused: what it waits for may never come. The caller cancels the call in flight.
     void on_pause(core::time_point now) noexcept;
 
@@ -89,6 +113,7 @@
   private:
     void on_failure(core::time_point now, store_progress& progress);
 
+    read_mode m_mode = read_mode::watch;
     store_call m_next = store_call::read_routes;
     std::string m_after;
     /// Collects the pages of a whole read.
--- /dev/null
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "daisydoor/relay/actions.hpp"
+#include "daisydoor/relay/fleet_view.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisydoor::relay
+{
+
+/// A subscription is repeated this often; an answer tells that the source lives and how old its state is.
+constexpr core::milliseconds subscribe_interval{500};
+/// A subscriber that stays silent for this long is told nothing more: three repetitions may be lost.
+constexpr core::milliseconds subscriber_timeout{2000};
+/// A source that stays silent for this long is replaced by the next one.
+constexpr core::milliseconds source_timeout{1100};
+/// A source that stayed silent is not chosen again for this long.
+constexpr core::milliseconds source_avoid_time{3000};
+/// State that the platform has not confirmed for this long is refreshed by a read of the own. A change must be in force
+/// after ConfigApplyMs (at least 3 s); the rest is for the read.
+constexpr core::milliseconds confirmation_limit{1900};
+/// Sources of a process: one may be cut off from the platform while it still answers.
+constexpr std::size_t source_count = 2;
+/// Hosts of one availability zone for which one agent reads the platform.
+constexpr std::size_t hosts_for_reader = 32;
+/// Agents that read the platform in the whole fleet at least.
+constexpr std::size_t min_readers = 2;
+/// Largest encoded update that is told in a datagram; larger ones are fetched.
+constexpr std::size_t max_told_bytes = 1100;
+
+/// @brief Decides which processes read the platform, and from whom the others learn of changes.
+///
+/// Few agents, chosen by rendezvous among the hosts of each availability zone, watch the platform. Every other process
+/// subscribes to two of them, and reads the platform itself only when its state was not confirmed in time. Ages add up
+/// along the way, so that no process takes old state for new. No sockets or clock.
+class view_sync
+{
+  public:
+    /// @param encoded_size size of an update as it would be sent
+    view_sync(ipv4 self, std::string zone, std::vector<ipv4> seeds, fleet_view& view,
+              std::function<std::size_t(const fleet_update&)> encoded_size);
+
+    /// @brief Whether this process should have the platform's next change told by the platform itself.
+    [[nodiscard]] bool should_read(core::time_point now) const;
+
+    /// @brief Whether this process is one of the chosen readers.
+    [[nodiscard]] bool is_reader() const noexcept { return m_is_reader; }
+
+    /// @brief The platform answered at `at`, so that the view is complete up to then.
+    void on_confirmed(core::time_point at) noexcept;
+
+    /// @brief The process was paused: nothing that it holds counts as confirmed.
+    void on_pause() noexcept { m_confirmed_at.reset(); }
+
+    void on_subscribe(ipv4 from, const fleet_subscribe& value, core::time_point now, actions& out);
+
+    /// @brief Takes over what a source tells.
+    view_change on_news(ipv4 from, const fleet_news& value, core::time_point now, actions& out);
+
+    /// @brief Takes over a whole view that was fetched.
+    view_change on_fetched(const fleet_update& value, core::time_point now);
+
+    /// @brief A fetch failed: another may be started.
+    void on_fetch_failed() noexcept { m_fetching = false; }
+
+    /// @brief The view has changed: tells the subscribers and chooses readers and sources again.
+    void on_change(core::time_point now, actions& out);
+
+    void on_tick(core::time_point now, actions& out);
+
+    [[nodiscard]] core::milliseconds age(core::time_point now) const;
+    [[nodiscard]] const std::vector<ipv4>& sources() const noexcept { return m_sources; }
+    [[nodiscard]] std::size_t subscriber_count() const noexcept { return m_subscribers.size(); }
+
+  private:
+    struct subscriber
+    {
+        relay::revision revision{};
+        core::time_point heard;
+    };
+
+    struct source_state
+    {
+        core::time_point asked_since;
+        core::time_point heard;
+        core::time_point avoid_until;
+    };
+
+    void choose_readers();
+    void choose_sources(core::time_point now);
+    void subscribe(core::time_point now, actions& out);
+    void tell(ipv4 to, subscriber& entry, core::time_point now, actions& out);
+    [[nodiscard]] std::vector<ipv4> candidates() const;
+
+    ipv4 m_self;
+    std::string m_zone;
+    std::vector<ipv4> m_seeds;
+    fleet_view& m_view;
+    std::function<std::size_t(const fleet_update&)> m_encoded_size;
+    std::optional<core::time_point> m_confirmed_at;
+    bool m_is_reader = false;
+    bool m_fetching = false;
+    std::vector<ipv4> m_readers;
+    std::vector<ipv4> m_sources;
+    std::unordered_map<std::uint32_t, source_state> m_source_states;
+    std::unordered_map<std::uint32_t, subscriber> m_subscribers;
+    core::time_point m_next_subscribe;
+};
+
+} // namespace daisydoor::relay
--- a/include/daisydoor/runtime/detail/relay_task.hpp
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -2,6 +2,8 @@
 
 #include "daisydoor/relay/agent_relay.hpp"
 #include "daisydoor/relay/entry_relay.hpp"
+#include "daisydoor/relay/view_sync.hpp"
+#include "daisydoor/runtime/detail/http_client.hpp"
 #include "daisydoor/runtime/detail/http_server.hpp"
 #include "daisydoor/runtime/detail/log_output.hpp"
 #include "daisydoor/runtime/detail/metrics.hpp"
@@ -10,6 +12,7 @@
 #include "daisydoor/runtime/settings.hpp"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -33,7 +36,11 @@
     void on_client_packet(wire::bytes_view bytes, relay::ipv4 from);
     void on_host_packet(wire::bytes_view bytes);
     void on_message(wire::bytes_view bytes, relay::ipv4 from);
-    void on_news(fleet_news& news);
+    void on_store_news(fleet_news& news);
+    void on_fleet_message(const relay::message& message, relay::ipv4 from, core::time_point now);
+    void on_fetched(relay::ipv4 from, const http_answer& answer);
+    void note_change(const relay::view_change& change, const std::string& source, core::time_point now);
+    void choose_read_mode(core::time_point now);
     void on_tick();
     void check_pause(core::time_point now);
     /// @brief Performs the actions of the core. Their bytes are copied or stay valid until flush().
@@ -45,6 +52,7 @@
     void perform(const relay::send_to_client& value);
     void perform(const relay::reset_client& value);
     void perform(const relay::send_message& value);
+    void perform(const relay::fetch_view& value);
     void perform(const relay::decision_record& value);
     http_reply answer(const std::string& path);
     [[nodiscard]] bool is_ready() const;
@@ -58,6 +66,7 @@
     relay::ipv4 m_self;
     relay::ipv4 m_host{};
     relay::fleet_view m_view;
+    relay::view_sync m_sync;
     std::unique_ptr<relay::entry_relay> m_entry;
     std::unique_ptr<relay::agent_relay> m_agent;
     packet_socket m_packets;
@@ -71,6 +80,8 @@
     std::uint64_t m_resets = 0;
     std::uint64_t m_bad_messages = 0;
     metrics m_metrics;
+    /// One for each process that a view was fetched from.
+    std::map<relay::ipv4, std::unique_ptr<http_client>> m_fetch_clients;
     core::time_point m_last_tick;
     core::duration m_suspended{};
     std::optional<core::time_point> m_drain_started;
--- a/include/daisydoor/runtime/detail/store_task.hpp
+++ b/include/daisydoor/runtime/detail/store_task.hpp
@@ -16,6 +16,8 @@
 {
     std::optional<relay::fleet_update> update;
     bool regained = false;
+    /// When the platform confirmed the state that results.
+    core::time_point confirmed_at;
 };
 
 struct store_counters
@@ -33,6 +35,9 @@
 
     void start() override;
 
+    /// @brief Changes how much this process reads the platform.
+    void set_mode(relay::read_mode mode, relay::revision held);
+
     /// @brief The process was paused: reads again at once instead of waiting for an answer that may never come.
     void on_pause();
 
--- a/include/daisydoor/runtime/events.hpp
+++ b/include/daisydoor/runtime/events.hpp
@@ -49,6 +49,9 @@
     flow_decision,
     settings_reloaded,
     settings_rejected,
+    platform_reading,
+    view_fetched,
+    view_fetch_failed,
 };
 
 struct log_event_info
@@ -60,7 +63,7 @@
 };
 
 /// @brief Table of all log events; docs/events.md lists the same numbers, severities and texts.
-constexpr std::array<log_event_info, 30> log_events{{
+constexpr std::array<log_event_info, 33> log_events{{
     {1001, severity::info, "process started"},
     {1002, severity::info, "process stopped"},
     {1003, severity::info, "drain started"},
@@ -91,6 +94,9 @@
     {1403, severity::info, "flow decision"},
     {1007, severity::info, "settings reloaded"},
     {1008, severity::error, "changed settings rejected, the former ones stay in force"},
+    {1203, severity::info, "reading of the platform changes"},
+    {1107, severity::info, "fleet view fetched"},
+    {1108, severity::warning, "fleet view could not be fetched"},
 }};
 
 constexpr const log_event_info& info_of(log_event value) { return log_events.at(static_cast<std::size_t>(value)); }
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -2,7 +2,8 @@
 
 #include "daisydoor/wire/generated/relay_generated.h"
 
-#include <type_traits>
+#include <algorithm>
+#include <utility>
 
 namespace daisydoor::relay
 {
@@ -31,8 +32,175 @@
     return wire::Createhost_load(builder, value.in_flight, value.open_flows, value.slots, value.accepts);
 }
 
+std::uint32_t to_wire(core::milliseconds value) noexcept { return static_cast<std::uint32_t>(value.count()); }
+
+flatbuffers::Offset<wire::fleet_host> pack(flatbuffers::FlatBufferBuilder& builder, const host& value)
+{
+    const auto id = builder.CreateString(value.id);
+    const auto service = builder.CreateString(value.service);
+    const auto zone = builder.CreateString(value.availability_zone);
+    return wire::Createfleet_host(builder, id, service, zone, static_cast<std::uint32_t>(value.address), value.slots,
+                                  value.state == host_state::draining, to_wire(value.cold_remaining), value.born);
+}
+
+flatbuffers::Offset<wire::fleet_route> pack(flatbuffers::FlatBufferBuilder& builder, const route& value)
+{
+    std::vector<flatbuffers::Offset<wire::fleet_service>> services;
+    for (const auto& it : value.services) {
+        services.push_back(wire::Createfleet_service(builder, builder.CreateString(it.service), it.weight));
+    }
+    return wire::Createfleet_route(builder, static_cast<std::uint32_t>(value.address), value.port,
+                                   static_cast<std::uint8_t>(value.kind), to_wire(value.timeout),
+                                   to_wire(value.target_latency), value.priority, builder.CreateVector(services));
+}
+
+flatbuffers::Offset<wire::fleet_routes> pack_routes(flatbuffers::FlatBufferBuilder& builder, route_version version,
+                                                    route_version base, core::milliseconds idle_timeout,
+                                                    const std::vector<route>& changed,
+                                                    const std::vector<route>& dropped)
+{
+    std::vector<flatbuffers::Offset<wire::fleet_route>> routes;
+    for (const auto& it : changed) {
+        routes.push_back(pack(builder, it));
+    }
+    std::vector<flatbuffers::Offset<wire::fleet_route_key>> keys;
+    for (const auto& it : dropped) {
+        keys.push_back(wire::Createfleet_route_key(builder, static_cast<std::uint32_t>(it.address), it.port));
+    }
+    const auto packed_routes = builder.CreateVector(routes);
+    const auto packed_keys = builder.CreateVector(keys);
+    return wire::Createfleet_routes(builder, static_cast<std::uint64_t>(version), static_cast<std::uint64_t>(base),
+                                    to_wire(idle_timeout), packed_routes, packed_keys);
+}
+
+flatbuffers::Offset<wire::fleet_change> pack(flatbuffers::FlatBufferBuilder& builder, const fleet_change& value)
+{
+    const auto revision = static_cast<std::uint64_t>(value.revision);
+    if (const auto* it = std::get_if<host>(&value.value)) {
+        return wire::Createfleet_change(builder, revision, pack(builder, *it));
+    }
+    if (const auto* removed = std::get_if<host_removed>(&value.value)) {
+        return wire::Createfleet_change(builder, revision, 0, builder.CreateString(removed->id));
+    }
+    if (const auto* routes = std::get_if<route_set>(&value.value)) {
+        return wire::Createfleet_change(
+            builder, revision, 0, 0,
+            pack_routes(builder, routes->version, route_version{}, routes->idle_timeout, routes->routes, {}));
+    }
+    const auto& delta = std::get<route_delta>(value.value);
+    return wire::Createfleet_change(
+        builder, revision, 0, 0,
+        pack_routes(builder, delta.version, delta.base, delta.idle_timeout, delta.changed, delta.dropped));
+}
+
+flatbuffers::Offset<wire::fleet_update> pack(flatbuffers::FlatBufferBuilder& builder, const fleet_update& value)
+{
+    std::vector<flatbuffers::Offset<wire::fleet_change>> changes;
+    for (const auto& it : value.changes) {
+        changes.push_back(pack(builder, it));
+    }
+    return wire::Createfleet_update(builder, static_cast<std::uint64_t>(value.revision), value.whole,
+                                    builder.CreateVector(changes));
+}
+
+host from_wire(const wire::fleet_host& value)
+{
+    host result;
+    result.id = value.id()->str();
+    result.service = value.service()->str();
+    result.availability_zone = value.availability_zone()->str();
+    result.address = ipv4{value.address()};
+    result.slots = std::max(value.slots(), 1U);
+    result.state = value.draining() ? host_state::draining : host_state::ready;
+    result.cold_remaining = core::milliseconds(value.cold_remaining_ms());
+    result.born = value.born();
+    return result;
+}
+
+route from_wire(const wire::fleet_route& value)
+{
+    route result;
+    result.address = ipv4{value.address()};
+    result.port = value.port();
+    result.kind = static_cast<request_kind>(std::min<std::size_t>(value.kind(), request_kind_names.size() - 1));
+    result.timeout = core::milliseconds(value.timeout_ms());
+    result.target_latency = core::milliseconds(value.target_latency_ms());
+    result.priority = value.priority();
+    for (const auto* it : *value.services()) {
+        result.services.push_back({it->name()->str(), it->weight()});
+    }
+    return result;
+}
+
+void add_routes(const wire::fleet_routes& value, fleet_change& change)
+{
+    std::vector<route> routes;
+    for (const auto* it : *value.changed()) {
+        routes.push_back(from_wire(*it));
+    }
+    const route_version version{value.version()};
+    const core::milliseconds idle_timeout(value.idle_timeout_ms());
+    if (value.base_version() == 0) {
+        change.value.emplace<route_set>(route_set{version, std::move(routes), idle_timeout});
+        return;
+    }
+    route_delta delta{route_version{value.base_version()}, version, std::move(routes), {}, idle_timeout};
+    if (value.dropped() != nullptr) {
+        for (const auto* it : *value.dropped()) {
+            route key;
+            key.address = ipv4{it->address()};
+            key.port = it->port();
+            delta.dropped.push_back(std::move(key));
+        }
+    }
+    change.value.emplace<route_delta>(std::move(delta));
+}
+
+fleet_update from_wire(const wire::fleet_update& value)
+{
+    fleet_update result;
+    result.revision = revision{value.revision()};
+    result.whole = value.whole();
+    for (const auto* it : *value.changes()) {
+        fleet_change change;
+        change.revision = revision{it->revision()};
+        if (it->host() != nullptr) {
+            change.value.emplace<host>(from_wire(*it->host()));
+        } else if (it->removed_host() != nullptr) {
+            change.value.emplace<host_removed>(host_removed{it->removed_host()->str()});
+        } else if (it->routes() != nullptr) {
+            add_routes(*it->routes(), change);
+        } else {
+            continue;
+        }
+        result.changes.push_back(std::move(change));
+    }
+    return result;
+}
+
+wire::buffer to_buffer(const flatbuffers::FlatBufferBuilder& builder)
+{
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
 } // namespace
 
+wire::buffer encode_update(const fleet_update& value)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(pack(builder, value));
+    return to_buffer(builder);
+}
+
+std::optional<fleet_update> decode_update(wire::bytes_view bytes)
+{
+    flatbuffers::Verifier verifier(bytes.data, bytes.size);
+    if (!verifier.VerifyBuffer<wire::fleet_update>(nullptr)) {
+        return std::nullopt;
+    }
+    return from_wire(*flatbuffers::GetRoot<wire::fleet_update>(bytes.data));
+}
+
 wire::buffer encode_message(const message& value)
 {
     flatbuffers::FlatBufferBuilder builder(128);
@@ -49,9 +217,18 @@
         type = wire::relay_body::flow_unknown;
         const auto flow = to_wire(unknown->flow);
         body = wire::Createflow_unknown(builder, &flow).Union();
+    } else if (const auto* subscribe = std::get_if<fleet_subscribe>(&value)) {
+        type = wire::relay_body::fleet_subscribe;
+        body = wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision)).Union();
+    } else if (const auto* news = std::get_if<fleet_news>(&value)) {
+        type = wire::relay_body::fleet_news;
+        const auto update = pack(builder, news->update);
+        body = wire::Createfleet_news(builder, to_wire(news->age), to_wire(news->regained),
+                                      static_cast<std::uint64_t>(news->after), news->fetch, update)
+                   .Union();
     }
     builder.Finish(wire::Createrelay_message(builder, type, body));
-    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+    return to_buffer(builder);
 }
 
 std::optional<message> decode_message(wire::bytes_view datagram)
@@ -73,6 +250,13 @@
     if (const auto* unknown = root->body_as_flow_unknown(); unknown != nullptr && unknown->flow() != nullptr) {
         return flow_unknown{from_wire(*unknown->flow())};
     }
+    if (const auto* subscribe = root->body_as_fleet_subscribe()) {
+        return fleet_subscribe{revision{subscribe->revision()}};
+    }
+    if (const auto* news = root->body_as_fleet_news()) {
+        return fleet_news{core::milliseconds(news->age_ms()), core::milliseconds(news->regained_ms()),
+                          revision{news->after()}, news->fetch(), from_wire(*news->update())};
+    }
     return std::nullopt;
 }
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -1,6 +1,8 @@
 #include "daisydoor/relay/fleet_view.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -13,6 +15,8 @@
 const std::vector<const known_host*> no_hosts;
 /// Bounds the history of a route whose services keep changing.
 constexpr std::size_t max_former_services = 8;
+/// Changes kept for peers that ask; a peer that is further behind fetches everything.
+constexpr std::size_t max_logged_changes = 256;
 
 std::uint64_t member_of(const host& value) noexcept
 {
@@ -30,6 +34,28 @@
     former.push_back(service);
 }
 
+bool is_route_before(const route& a, const route& b) noexcept
+{
+    return std::tie(a.address, a.port) < std::tie(b.address, b.port);
+}
+
+/// @param before sorted routes of the version `base`
+route_delta make_delta(route_version base, const std::vector<route>& before, const route_set& after)
+{
+    route_delta result{base, after.version, {}, {}, after.idle_timeout};
+    auto routes = after.routes;
+    std::sort(routes.begin(), routes.end(), is_route_before);
+    std::set_difference(before.begin(), before.end(), routes.begin(), routes.end(), std::back_inserter(result.dropped),
+                        is_route_before);
+    for (const auto& it : routes) {
+        const auto old = std::lower_bound(before.begin(), before.end(), it, is_route_before);
+        if (old == before.end() || !(*old == it)) {
+            result.changed.push_back(it);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 std::uint64_t hash_of(const flow_key& flow) noexcept { return XXH3_64bits(&flow, sizeof flow); }
@@ -56,6 +82,14 @@
 view_change fleet_view::apply(const fleet_update& update, core::time_point now)
 {
     view_change result;
+    if (!update.whole && update.revision <= m_revision) {
+        return result;
+    }
+    const auto version_before = m_version;
+    const bool has_routes = std::any_of(update.changes.begin(), update.changes.end(), [](const fleet_change& it) {
+        return std::holds_alternative<route_set>(it.value);
+    });
+    const auto routes_before = has_routes ? sorted_routes() : std::vector<route>();
     // The state is complete up to m_revision: an older change is a repetition, or was undone since.
     const bool is_newer_whole = update.whole && update.revision >= m_revision;
     for (const auto& change : update.changes) {
@@ -68,8 +102,13 @@
             result.hosts += apply_removal(removal->id, change.revision, now) ? 1 : 0;
         } else if (const auto* routes = std::get_if<route_set>(&change.value)) {
             result.routes = apply_routes(*routes, change.revision) || result.routes;
+        } else if (const auto* delta = std::get_if<route_delta>(&change.value)) {
+            const bool applied = apply_delta(*delta, change.revision);
+            result.routes = applied || result.routes;
+            result.needs_whole = result.needs_whole || (!applied && delta->version > m_version);
         }
     }
+    std::vector<fleet_change> removals;
     if (is_newer_whole) {
         std::vector<std::string> missing;
         for (const auto& [id, entry] : m_hosts) {
@@ -84,15 +123,89 @@
         }
         for (const auto& id : missing) {
             result.hosts += apply_removal(id, update.revision, now) ? 1 : 0;
+            removals.push_back({update.revision, host_removed{id}});
         }
     }
-    m_revision = std::max(m_revision, update.revision);
+    if (!result.needs_whole) {
+        if (m_revision == relay::revision{}) {
+            // What a process knows first has no history.
+            m_log_start = update.revision;
+        } else {
+            remember(update.changes, version_before, routes_before);
+            std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
+        }
+        m_revision = std::max(m_revision, update.revision);
+    }
     if (result.hosts > 0) {
         index_hosts();
     }
     return result;
 }
 
+void fleet_view::remember(const std::vector<fleet_change>& changes, route_version routes_before,
+                          const std::vector<route>& before)
+{
+    for (const auto& change : changes) {
+        if (change.revision <= m_revision) {
+            continue;
+        }
+        m_log.push_back(change);
+        if (const auto* routes = std::get_if<route_set>(&change.value);
+            routes != nullptr && routes_before != route_version{} && routes->version == m_version) {
+            m_log.back().value.emplace<route_delta>(make_delta(routes_before, before, *routes));
+        }
+    }
+    while (m_log.size() > max_logged_changes) {
+        m_log_start = m_log.front().revision;
+        m_log.pop_front();
+    }
+}
+
+std::optional<fleet_update> fleet_view::changes_after(relay::revision after) const
+{
+    if (after < m_log_start || after > m_revision) {
+        return std::nullopt;
+    }
+    fleet_update result;
+    result.revision = m_revision;
+    std::copy_if(m_log.begin(), m_log.end(), std::back_inserter(result.changes),
+                 [after](const fleet_change& it) { return it.revision > after; });
+    return result;
+}
+
+std::vector<route> fleet_view::sorted_routes() const
+{
+    std::vector<route> result;
+    result.reserve(m_routes.size());
+    for (const auto& [key, entry] : m_routes) {
+        result.push_back(entry.value);
+    }
+    std::sort(result.begin(), result.end(), is_route_before);
+    return result;
+}
+
+bool fleet_view::apply_delta(const route_delta& value, relay::revision at)
+{
+    if (value.base != m_version) {
+        return false;
+    }
+    route_set whole;
+    whole.version = value.version;
+    whole.idle_timeout = value.idle_timeout;
+    const auto is_replaced = [&value](const route& it) {
+        const auto is_same = [&it](const route& other) { return other.address == it.address && other.port == it.port; };
+        return std::any_of(value.changed.begin(), value.changed.end(), is_same) ||
+               std::any_of(value.dropped.begin(), value.dropped.end(), is_same);
+    };
+    for (const auto& [key, entry] : m_routes) {
+        if (!is_replaced(entry.value)) {
+            whole.routes.push_back(entry.value);
+        }
+    }
+    whole.routes.insert(whole.routes.end(), value.changed.begin(), value.changed.end());
+    return apply_routes(whole, at);
+}
+
 bool fleet_view::apply_host(const host& value, relay::revision at)
 {
     auto [it, added] = m_hosts.try_emplace(value.id);
--- a/src/relay/store_reader.cpp
+++ b/src/relay/store_reader.cpp
@@ -20,12 +20,32 @@
 
 std::optional<store_request> store_reader::next(core::time_point now)
 {
-    if (m_in_flight || now < m_due_at) {
+    if (m_in_flight || now < m_due_at || m_mode == read_mode::off) {
         return std::nullopt;
     }
     m_in_flight = true;
-    const auto timeout = m_next == store_call::watch ? watch_wait + answer_timeout : answer_timeout;
-    return store_request{m_next, m_after, m_revision, timeout};
+    const auto wait = m_next != store_call::watch  ? core::milliseconds(0)
+                      : m_mode == read_mode::watch ? watch_wait
+                                                   : check_wait;
+    return store_request{m_next, m_after, m_revision, wait, wait + answer_timeout};
+}
+
+void store_reader::set_mode(read_mode mode, relay::revision held, core::time_point now) noexcept
+{
+    if (mode == m_mode) {
+        return;
+    }
+    const bool starts = m_mode == read_mode::off;
+    m_mode = mode;
+    if (!starts || m_in_flight) {
+        return;
+    }
+    m_due_at = m_lost ? m_due_at : now;
+    if (held > m_revision) {
+        // Others told of everything up to here.
+        m_revision = held;
+        m_next = store_call::watch;
+    }
 }
 
 store_progress store_reader::on_result(store_result result, fleet_update update, bool has_more,
@@ -81,7 +101,7 @@
         m_next = store_call::read_routes;
     }
     m_due_at = now + m_pause;
-    m_pause = std::min(m_pause * 2, max_retry_pause);
+    m_pause = std::min(m_pause * 2, m_mode == read_mode::watch ? max_retry_pause : max_check_pause);
 }
 
 void store_reader::on_pause(core::time_point now) noexcept
--- /dev/null
+++ b/src/relay/view_sync.cpp
@@ -0,0 +1,216 @@
+#include "daisydoor/relay/view_sync.hpp"
+
+#include "daisydoor/core/rendezvous.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+/// Key of the rendezvous by which all processes choose the same readers.
+constexpr std::uint64_t reader_key = 0x7265616465727331;
+constexpr core::milliseconds never{0xffffffff};
+
+struct reader_candidate
+{
+    double distance = 0;
+    ipv4 agent{};
+
+    friend bool operator<(const reader_candidate& a, const reader_candidate& b) noexcept
+    {
+        return std::tie(a.distance, a.agent) < std::tie(b.distance, b.agent);
+    }
+};
+
+} // namespace
+
+view_sync::view_sync(ipv4 self, std::string zone, std::vector<ipv4> seeds, fleet_view& view,
+                     std::function<std::size_t(const fleet_update&)> encoded_size)
+    : m_self(self), m_zone(std::move(zone)), m_seeds(std::move(seeds)), m_view(view),
+      m_encoded_size(std::move(encoded_size))
+{
+}
+
+core::milliseconds view_sync::age(core::time_point now) const
+{
+    if (!m_confirmed_at) {
+        return never;
+    }
+    return std::min(never, std::chrono::duration_cast<core::milliseconds>(now - *m_confirmed_at));
+}
+
+bool view_sync::should_read(core::time_point now) const
+{
+    return m_is_reader || !m_view.is_ready() || age(now) > confirmation_limit;
+}
+
+void view_sync::on_confirmed(core::time_point at) noexcept
+{
+    m_confirmed_at = m_confirmed_at ? std::max(*m_confirmed_at, at) : at;
+}
+
+void view_sync::on_subscribe(ipv4 from, const fleet_subscribe& value, core::time_point now, actions& out)
+{
+    auto& entry = m_subscribers[static_cast<std::uint32_t>(from)];
+    entry.revision = value.revision;
+    entry.heard = now;
+    if (m_view.is_ready()) {
+        tell(from, entry, now, out);
+    }
+}
+
+void view_sync::tell(ipv4 to, subscriber& entry, core::time_point now, actions& out)
+{
+    fleet_news news;
+    news.age = age(now);
+    news.regained = never;
+    if (const auto at = m_view.regained_at()) {
+        news.regained = std::min(never, std::chrono::duration_cast<core::milliseconds>(now - *at));
+    }
+    news.after = entry.revision;
+    if (entry.revision < m_view.revision()) {
+        auto update = m_view.changes_after(entry.revision);
+        news.fetch = !update || m_encoded_size(*update) > max_told_bytes;
+        if (!news.fetch) {
+            news.update = std::move(*update);
+        }
+    }
+    news.update.revision = m_view.revision();
+    // A datagram that is lost is made good by the next subscription, which names the revision again.
+    entry.revision = news.fetch ? entry.revision : m_view.revision();
+    out.push_back(send_message{to, std::move(news)});
+}
+
+view_change view_sync::on_news(ipv4 from, const fleet_news& value, core::time_point now, actions& out)
+{
+    m_source_states[static_cast<std::uint32_t>(from)].heard = now;
+    if (value.regained < lapse_time) {
+        m_view.platform_regained(now - value.regained);
+    }
+    view_change result;
+    const bool is_behind = value.update.revision > m_view.revision();
+    if (is_behind && !value.fetch && value.after <= m_view.revision()) {
+        result = m_view.apply(value.update, now);
+    }
+    if (is_behind && (value.fetch || result.needs_whole) && !m_fetching) {
+        m_fetching = true;
+        out.push_back(fetch_view{from});
+    }
+    if (value.update.revision <= m_view.revision() && value.age < never) {
+        on_confirmed(now - value.age);
+    }
+    return result;
+}
+
+view_change view_sync::on_fetched(const fleet_update& value, core::time_point now)
+{
+    m_fetching = false;
+    return m_view.apply(value, now);
+}
+
+void view_sync::on_change(core::time_point now, actions& out)
+{
+    choose_readers();
+    choose_sources(now);
+    for (auto& [address, entry] : m_subscribers) {
+        if (entry.revision < m_view.revision()) {
+            tell(ipv4{address}, entry, now, out);
+        }
+    }
+}
+
+void view_sync::choose_readers()
+{
+    std::map<std::string, std::vector<reader_candidate>> zones;
+    std::vector<reader_candidate> all;
+    for (const auto& [id, entry] : m_view.hosts()) {
+        if (entry.is_usable()) {
+            const reader_candidate value{core::rendezvous_distance(reader_key, entry.member), entry.value.address};
+            zones[entry.value.availability_zone].push_back(value);
+            all.push_back(value);
+        }
+    }
+    m_readers.clear();
+    for (auto& [zone, agents] : zones) {
+        std::sort(agents.begin(), agents.end());
+        const auto n = std::min(agents.size(), 1 + agents.size() / hosts_for_reader);
+        for (std::size_t i = 0; i < n; ++i) {
+            m_readers.push_back(agents[i].agent);
+        }
+    }
+    std::sort(all.begin(), all.end());
+    for (std::size_t i = 0; i < all.size() && m_readers.size() < min_readers; ++i) {
+        if (std::find(m_readers.begin(), m_readers.end(), all[i].agent) == m_readers.end()) {
+            m_readers.push_back(all[i].agent);
+        }
+    }
+    m_is_reader = std::find(m_readers.begin(), m_readers.end(), m_self) != m_readers.end();
+}
+
+std::vector<ipv4> view_sync::candidates() const
+{
+    auto result = m_readers;
+    // Spreads the subscribers over the readers, those of the own zone first.
+    const auto rank = [this](ipv4 agent) {
+        const auto* host = m_view.find_host(agent);
+        const bool is_near = host != nullptr && host->in_own_zone;
+        return std::make_pair(
+            !is_near, core::rendezvous_distance(static_cast<std::uint64_t>(m_self), static_cast<std::uint64_t>(agent)));
+    };
+    std::sort(result.begin(), result.end(), [&rank](ipv4 a, ipv4 b) { return rank(a) < rank(b); });
+    // Seeds answer too; a process that holds nothing knows no others.
+    result.insert(result.end(), m_seeds.begin(), m_seeds.end());
+    result.erase(std::remove(result.begin(), result.end(), m_self), result.end());
+    return result;
+}
+
+void view_sync::choose_sources(core::time_point now)
+{
+    std::vector<ipv4> chosen;
+    for (const auto it : candidates()) {
+        const auto& state = m_source_states[static_cast<std::uint32_t>(it)];
+        if (chosen.size() < source_count && now >= state.avoid_until &&
+            std::find(chosen.begin(), chosen.end(), it) == chosen.end()) {
+            chosen.push_back(it);
+        }
+    }
+    for (const auto it : chosen) {
+        if (std::find(m_sources.begin(), m_sources.end(), it) == m_sources.end()) {
+            m_source_states[static_cast<std::uint32_t>(it)].asked_since = now;
+        }
+    }
+    m_sources = std::move(chosen);
+}
+
+void view_sync::on_tick(core::time_point now, actions& out)
+{
+    if (now < m_next_subscribe) {
+        return;
+    }
+    m_next_subscribe = now + subscribe_interval;
+    for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
+        it = now - it->second.heard > subscriber_timeout ? m_subscribers.erase(it) : std::next(it);
+    }
+    for (const auto it : m_sources) {
+        auto& state = m_source_states[static_cast<std::uint32_t>(it)];
+        if (now - std::max(state.heard, state.asked_since) > source_timeout) {
+            state.avoid_until = now + source_avoid_time;
+        }
+    }
+    choose_sources(now);
+    subscribe(now, out);
+}
+
+void view_sync::subscribe(core::time_point /*now*/, actions& out)
+{
+    for (const auto it : m_sources) {
+        out.push_back(send_message{it, fleet_subscribe{m_view.revision()}});
+    }
+}
+
+} // namespace daisydoor::relay
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -25,6 +25,10 @@
 /// Decision lines a second that a process writes; a line costs a small entry about 10 us of its processor.
 constexpr double log_lines_per_second = 40;
 constexpr double log_burst = 200;
+/// Path at which a process serves its whole fleet view to others.
+constexpr const char* fleet_path = "/fleet";
+/// A view of a few hundred routes takes a few round trips.
+constexpr core::milliseconds fetch_timeout{700};
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_not_ready = 503;
@@ -54,6 +58,22 @@
            std::to_string(value.service_port);
 }
 
+core::endpoint endpoint_of(relay::ipv4 address, std::uint16_t port)
+{
+    return core::parse_endpoint(text_of(address) + ':' + std::to_string(port));
+}
+
+std::vector<relay::ipv4> seeds_of(const relay_settings& values)
+{
+    std::vector<relay::ipv4> result;
+    for (const auto& it : values.seeds) {
+        result.push_back(ipv4_of(it));
+    }
+    return result;
+}
+
+std::size_t encoded_size(const relay::fleet_update& value) { return relay::encode_update(value).size(); }
+
 core::endpoint with_port(core::endpoint value, std::uint16_t port)
 {
     value.port = port;
@@ -86,7 +106,7 @@
 
 relay_task::relay_task(kernel& owner, const relay_settings& values, store_task& store, const log_output& log)
     : m_kernel(owner), m_settings(values), m_store(store), m_log(log), m_self(ipv4_of(values.packets)),
-      m_view(values.zone),
+      m_view(values.zone), m_sync(m_self, values.zone, seeds_of(values), m_view, &encoded_size),
       m_packets(
           owner.base(), values.packets,
           [this](wire::bytes_view bytes, relay::ipv4 from) { on_client_packet(bytes, from); }, [this] { flush(); }),
@@ -107,7 +127,7 @@
     } else {
         m_entry = std::make_unique<relay::entry_relay>(m_self, m_view);
     }
-    owner.provide<fleet_news>(service_names::role, [this](fleet_news& news) { on_news(news); });
+    owner.provide<fleet_news>(service_names::role, [this](fleet_news& news) { on_store_news(news); });
 }
 
 relay_task::~relay_task() = default;
@@ -158,6 +178,7 @@
         return;
     }
     const auto now = core::clock::now();
+    on_fleet_message(*message, from, now);
     if (m_entry) {
         m_entry->on_message(from, *message, now, m_actions);
     } else {
@@ -166,27 +187,84 @@
     execute();
 }
 
-void relay_task::on_news(fleet_news& news)
+void relay_task::on_store_news(fleet_news& news)
 {
     const auto now = core::clock::now();
     if (news.regained) {
         m_view.platform_regained(now);
     }
-    if (!news.update) {
-        return;
+    if (news.update) {
+        m_sync.on_confirmed(news.confirmed_at);
+        note_change(m_view.apply(*news.update, now), "platform", now);
     }
-    const auto change = m_view.apply(*news.update, now);
+    choose_read_mode(now);
+    execute();
+    flush();
+}
+
+void relay_task::on_fleet_message(const relay::message& message, relay::ipv4 from, core::time_point now)
+{
+    if (const auto* subscribe = std::get_if<relay::fleet_subscribe>(&message)) {
+        m_sync.on_subscribe(from, *subscribe, now, m_actions);
+    } else if (const auto* news = std::get_if<relay::fleet_news>(&message)) {
+        note_change(m_sync.on_news(from, *news, now, m_actions), text_of(from), now);
+    }
+}
+
+void relay_task::note_change(const relay::view_change& change, const std::string& source, core::time_point now)
+{
+    const std::string origin = " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())) +
+                               " source=" + source + " age_ms=" + std::to_string(m_sync.age(now).count());
     if (change.routes) {
         write_log(log_event::routes_accepted,
                   "version=" + std::to_string(static_cast<std::uint64_t>(m_view.version())) +
-                      " routes=" + std::to_string(m_view.route_count()) +
-                      " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())));
+                      " routes=" + std::to_string(m_view.route_count()) + origin);
     }
     if (change.hosts > 0) {
-        write_log(log_event::hosts_changed,
-                  "changed=" + std::to_string(change.hosts) + " hosts=" + std::to_string(m_view.hosts().size()) +
-                      " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())));
+        write_log(log_event::hosts_changed, "changed=" + std::to_string(change.hosts) +
+                                                " hosts=" + std::to_string(m_view.hosts().size()) + origin);
+    }
+    if (change.routes || change.hosts > 0) {
+        m_sync.on_change(now, m_actions);
+    }
+}
+
+void relay_task::perform(const relay::fetch_view& value)
+{
+    auto& client = m_fetch_clients[value.from];
+    if (!client) {
+        client = std::make_unique<http_client>(m_kernel, endpoint_of(value.from, m_settings.admin.port));
+    }
+    http_request request;
+    request.path = fleet_path;
+    request.timeout = fetch_timeout;
+    client->start(std::move(request),
+                  [this, from = value.from](const http_answer& answer) { on_fetched(from, answer); });
+}
+
+void relay_task::on_fetched(relay::ipv4 from, const http_answer& answer)
+{
+    const auto now = core::clock::now();
+    const bool answered = answer.outcome == http_outcome::answered && answer.status == status_ok;
+    const auto update = answered ? relay::decode_update({answer.body.data(), answer.body.size()}) : std::nullopt;
+    if (!update) {
+        write_log(log_event::view_fetch_failed, "source=" + text_of(from) + " status=" + std::to_string(answer.status));
+        m_sync.on_fetch_failed();
+        return;
     }
+    write_log(log_event::view_fetched, "source=" + text_of(from) + " bytes=" + std::to_string(answer.body.size()) +
+                                           " revision=" + std::to_string(static_cast<std::uint64_t>(update->revision)));
+    note_change(m_sync.on_fetched(*update, now), text_of(from), now);
+    execute();
+    flush();
+}
+
+void relay_task::choose_read_mode(core::time_point now)
+{
+    const auto mode = m_sync.is_reader() || !m_view.is_ready() ? relay::read_mode::watch
+                      : m_sync.should_read(now)                ? relay::read_mode::check
+                                                               : relay::read_mode::off;
+    m_store.set_mode(mode, m_view.is_ready() ? m_view.revision() : relay::revision{});
 }
 
 void relay_task::check_pause(core::time_point now)
@@ -198,6 +276,7 @@
     if (gap > pause_limit) {
         write_log(log_event::pause_detected,
                   "gap_ms=" + std::to_string(std::chrono::duration_cast<core::milliseconds>(gap).count()));
+        m_sync.on_pause();
         m_store.on_pause();
     }
 }
@@ -210,7 +289,10 @@
         write_log(log_event::hosts_changed, "lapsed=" + std::to_string(n) +
                                                 " hosts=" + std::to_string(m_view.hosts().size()) +
                                                 " reason=missing_after_platform_return");
+        m_sync.on_change(now, m_actions);
     }
+    m_sync.on_tick(now, m_actions);
+    choose_read_mode(now);
     if (m_entry) {
         m_entry->on_tick(now, m_actions);
     } else {
@@ -328,6 +410,10 @@
     if (path == "/metrics") {
         return {status_ok, "text/plain; version=0.0.4; charset=utf-8", metrics_text()};
     }
+    if (path == fleet_path && m_view.is_ready()) {
+        const auto bytes = relay::encode_update(m_view.snapshot());
+        return {status_ok, "application/octet-stream", {bytes.begin(), bytes.end()}};
+    }
     if (path == "/dump") {
         return {status_ok, "application/json", dump()};
     }
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -23,7 +23,7 @@
     case relay::store_call::watch:
         break;
     }
-    return platform::watch_path(request.revision, relay::watch_wait);
+    return platform::watch_path(request.revision, request.wait);
 }
 
 std::string describe(const http_answer& answer)
@@ -65,12 +65,24 @@
     pump();
 }
 
+void store_task::set_mode(relay::read_mode mode, relay::revision held)
+{
+    if (mode == m_reader.mode()) {
+        return;
+    }
+    write_log(log_event::platform_reading,
+              "mode=" + std::string(relay::read_mode_names.at(static_cast<std::size_t>(mode))) +
+                  " revision=" + std::to_string(static_cast<std::uint64_t>(held)));
+    m_reader.set_mode(mode, held, core::clock::now());
+    pump();
+}
+
 void store_task::pump()
 {
     const auto now = core::clock::now();
     if (const auto request = m_reader.next(now)) {
         call(*request);
-    } else if (m_exchange == 0) {
+    } else if (m_exchange == 0 && m_reader.mode() != relay::read_mode::off) {
         const auto wait = std::chrono::duration_cast<core::milliseconds>(m_reader.due_at() - now);
         m_timer.add(std::max(wait, core::milliseconds(0)) + core::milliseconds(1));
     }
@@ -126,7 +138,7 @@
         write_log(log_event::platform_reachable, "call=" + name);
     }
     if (progress.update || progress.regained) {
-        m_role.post({std::move(progress.update), progress.regained});
+        m_role.post({std::move(progress.update), progress.regained, core::clock::now()});
     }
     m_counters.failed += progress.lost ? 1 : 0;
 }
--- /dev/null
+++ b/tests/unit/unit-relay-sync.cpp
@@ -0,0 +1,249 @@
+#include "daisydoor/relay/codec.hpp"
+#include "daisydoor/relay/view_sync.hpp"
+
+#include "relay_fixture.hpp"
+
+#include <map>
+#include <memory>
+
+namespace daisydoor::relay
+{
+namespace
+{
+
+/// Processes that exchange views over a network which a test may cut; the platform's state is one more view.
+class view_sync_test : public relay_fixture
+{
+  protected:
+    struct process
+    {
+        fleet_view view{"a"};
+        std::unique_ptr<view_sync> sync;
+        bool is_cut = false;
+    };
+
+    view_sync_test()
+    {
+        set_routes(m_platform, {make_route({{"svc", 1}})});
+        for (std::uint32_t n = 1; n <= 6; ++n) {
+            add_host(m_platform, make_host(n, "svc", n <= 3 ? "a" : "b"));
+            add_process(agent_address(n));
+        }
+        add_process(entry_address);
+    }
+
+    process& add_process(ipv4 address)
+    {
+        auto& result = m_processes[address];
+        result = std::make_unique<process>();
+        result->sync =
+            std::make_unique<view_sync>(address, "a", std::vector<ipv4>{}, result->view,
+                                        [](const fleet_update& value) { return encode_update(value).size(); });
+        return *result;
+    }
+
+    process& at(ipv4 address) { return *m_processes.at(address); }
+
+    /// A read of the platform by one process.
+    void read(process& value)
+    {
+        actions out;
+        const auto newer = m_platform.changes_after(value.view.revision());
+        const auto change = value.view.apply(newer ? *newer : m_platform.snapshot(), m_now);
+        value.sync->on_confirmed(m_now);
+        if (change.routes || change.hosts > 0) {
+            value.sync->on_change(m_now, out);
+        }
+        deliver(address_of(value), out);
+    }
+
+    ipv4 address_of(const process& value) const
+    {
+        for (const auto& [address, it] : m_processes) {
+            if (it.get() == &value) {
+                return address;
+            }
+        }
+        return {};
+    }
+
+    void deliver(ipv4 from, const actions& out)
+    {
+        for (const auto& it : out) {
+            if (const auto* fetch = std::get_if<fetch_view>(&it)) {
+                ++m_fetches;
+                at(from).sync->on_fetched(at(fetch->from).view.snapshot(), m_now);
+                continue;
+            }
+            const auto* sent = std::get_if<send_message>(&it);
+            if (sent == nullptr || m_processes.count(sent->to) == 0 || at(from).is_cut || at(sent->to).is_cut) {
+                continue;
+            }
+            auto& to = at(sent->to);
+            // Every message passes the codec, as it does between processes.
+            const auto bytes = encode_message(sent->value);
+            const auto message = decode_message({bytes.data(), bytes.size()});
+            ASSERT_TRUE(message);
+            actions answers;
+            if (const auto* subscribe = std::get_if<fleet_subscribe>(&*message)) {
+                to.sync->on_subscribe(from, *subscribe, m_now, answers);
+            } else if (const auto* news = std::get_if<fleet_news>(&*message)) {
+                const auto change = to.sync->on_news(from, *news, m_now, answers);
+                if (change.routes || change.hosts > 0) {
+                    to.sync->on_change(m_now, answers);
+                }
+            }
+            deliver(sent->to, answers);
+        }
+    }
+
+    /// Runs all processes; readers that are not cut read the platform.
+    void run(core::milliseconds time)
+    {
+        for (const auto end = m_now + time; m_now < end;) {
+            advance(core::milliseconds(50));
+            for (auto& [address, it] : m_processes) {
+                if (it->sync->should_read(m_now) && m_is_platform_up && m_unserved.count(address) == 0) {
+                    ++m_reads[address];
+                    read(*it);
+                }
+                actions out;
+                it->sync->on_tick(m_now, out);
+                deliver(address, out);
+            }
+        }
+    }
+
+    std::size_t readers() const
+    {
+        std::size_t n = 0;
+        for (const auto& [address, it] : m_processes) {
+            n += it->sync->is_reader() ? 1 : 0;
+        }
+        return n;
+    }
+
+    fleet_view m_platform{"a"};
+    std::map<ipv4, std::unique_ptr<process>> m_processes;
+    std::map<ipv4, int> m_reads;
+    std::map<ipv4, int> m_unserved;
+    bool m_is_platform_up = true;
+    int m_fetches = 0;
+};
+
+// Guards against a platform that refuses calls because every process watches it.
+TEST_F(view_sync_test, only_readers_read_while_all_is_well)
+{
+    run(core::milliseconds(2000));
+    EXPECT_EQ(readers(), 2U) << "one for each availability zone";
+    m_reads.clear();
+    run(core::milliseconds(5000));
+    EXPECT_EQ(m_reads.size(), 2U);
+}
+
+// Guards against processes that keep an older configuration.
+TEST_F(view_sync_test, change_reaches_every_process_at_once)
+{
+    run(core::milliseconds(2000));
+    set_routes(m_platform, {make_route({{"svc", 1}}), make_route({{"svc", 1}}, 444)});
+    run(core::milliseconds(50));
+    for (const auto& [address, it] : m_processes) {
+        EXPECT_NE(it->view.find_route(service_address, 444), nullptr);
+    }
+    EXPECT_EQ(m_fetches, 0) << "a difference of one route fits a datagram";
+}
+
+// Guards against changes that are lost because they do not fit a datagram.
+TEST_F(view_sync_test, large_change_is_fetched)
+{
+    run(core::milliseconds(2000));
+    std::vector<route> routes;
+    for (std::uint16_t i = 0; i < 400; ++i) {
+        routes.push_back(make_route({{"svc", 1}}, static_cast<std::uint16_t>(443 + i)));
+    }
+    set_routes(m_platform, routes);
+    run(core::milliseconds(100));
+    EXPECT_GT(m_fetches, 0);
+    EXPECT_NE(at(entry_address).view.find_route(service_address, 842), nullptr);
+}
+
+// Guards against a configuration that stays old because its sources are cut off from the platform but still answer.
+TEST_F(view_sync_test, sources_without_platform_are_not_trusted)
+{
+    run(core::milliseconds(2000));
+    for (const auto& [address, it] : m_processes) {
+        if (it->sync->is_reader()) {
+            m_unserved[address] = 1;
+        }
+    }
+    set_routes(m_platform, {make_route({{"svc", 1}}, 444)});
+    run(confirmation_limit + core::milliseconds(100));
+    EXPECT_NE(at(entry_address).view.find_route(service_address, 444), nullptr);
+}
+
+// Guards against a process that keeps waiting for a source that died.
+TEST_F(view_sync_test, dead_source_is_replaced)
+{
+    run(core::milliseconds(2000));
+    const auto sources = at(entry_address).sync->sources();
+    ASSERT_EQ(sources.size(), 2U);
+    at(sources[0]).is_cut = true;
+    run(core::milliseconds(2000));
+    m_reads.clear();
+    run(core::milliseconds(3000));
+    EXPECT_EQ(m_reads.count(entry_address), 0U) << "the other source is enough";
+}
+
+// Guards against a view that goes back when a source that missed changes answers.
+TEST_F(view_sync_test, source_that_is_behind_changes_nothing)
+{
+    run(core::milliseconds(2000));
+    auto& behind = at(agent_address(1));
+    behind.is_cut = true;
+    set_routes(m_platform, {make_route({{"svc", 1}}, 444)});
+    run(core::milliseconds(500));
+    fleet_news news;
+    news.update = behind.view.snapshot();
+    actions out;
+    at(entry_address).sync->on_news(agent_address(1), news, m_now, out);
+    EXPECT_NE(at(entry_address).view.find_route(service_address, 444), nullptr);
+}
+
+// Guards against a new process that serves nothing while the platform is away.
+TEST_F(view_sync_test, new_process_learns_from_seed_while_platform_is_away)
+{
+    run(core::milliseconds(2000));
+    m_is_platform_up = false;
+    const ipv4 newcomer{0x0a010009};
+    auto& value = add_process(newcomer);
+    value.sync = std::make_unique<view_sync>(newcomer, "a", std::vector<ipv4>{entry_address}, value.view,
+                                             [](const fleet_update& update) { return encode_update(update).size(); });
+    run(core::milliseconds(1000));
+    EXPECT_TRUE(value.view.is_ready());
+    EXPECT_GT(value.sync->age(m_now).count(), 500) << "the age of the state is passed on";
+}
+
+// Guards against decisions on old state by a process that stood still.
+TEST_F(view_sync_test, pause_makes_process_read)
+{
+    run(core::milliseconds(2000));
+    at(entry_address).sync->on_pause();
+    EXPECT_TRUE(at(entry_address).sync->should_read(m_now));
+}
+
+// Guards against live hosts that are dropped by processes which did not see the platform's outage themselves.
+TEST_F(view_sync_test, return_of_platform_is_passed_on)
+{
+    run(core::milliseconds(2000));
+    for (auto& [address, it] : m_processes) {
+        if (it->sync->is_reader()) {
+            it->view.platform_regained(m_now);
+        }
+    }
+    remove_host(m_platform, "i-5");
+    run(core::milliseconds(600));
+    EXPECT_EQ(at(entry_address).view.hosts().count("i-5"), 1U);
+}
+
+} // namespace
+} // namespace daisydoor::relay
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -253,6 +253,21 @@
     EXPECT_TRUE(m_progress.regained);
 }
 
+// Guards against many processes that all watch the platform, and against one that trusts what it held while it did not
+// read.
+TEST_F(store_reader_test, check_after_time_off_continues_from_held_revision)
+{
+    read_all();
+    m_reader.set_mode(read_mode::off, revision{14}, m_now);
+    EXPECT_FALSE(m_reader.next(m_now));
+    m_reader.set_mode(read_mode::check, revision{40}, m_now);
+    const auto request = m_reader.next(m_now);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->call, store_call::watch);
+    EXPECT_EQ(request->revision, revision{40});
+    EXPECT_EQ(request->wait, check_wait);
+}
+
 // Guards against a process that waits for an answer which was lost while it stood still.
 TEST_F(store_reader_test, pause_starts_call_at_once)
 {
--- a/tests/unit/unit-runtime-catalogues.cpp
+++ b/tests/unit/unit-runtime-catalogues.cpp
@@ -74,7 +74,8 @@
     EXPECT_EQ(info_of(log_event::admin_bad_request).number, 1701);
     EXPECT_EQ(info_of(log_event::flow_decision).number, 1403);
     EXPECT_EQ(info_of(log_event::settings_rejected).number, 1008);
-    EXPECT_EQ(static_cast<std::size_t>(log_event::settings_rejected) + 1, log_events.size());
+    EXPECT_EQ(info_of(log_event::view_fetch_failed).number, 1108);
+    EXPECT_EQ(static_cast<std::size_t>(log_event::view_fetch_failed) + 1, log_events.size());
 }
 
 // Guards against error numbers that operators cannot look up, or that two families share.
