Add stand-ins of the users' platform and a fault soak

Change: stand-ins of the store (range, pages, watch, 410, 429, 503, silence), of hosts and clients that speak the packet format with a codec of their own, of routers, and a TCP proxy that delays, resets, cuts and silences connections to the store. relay_soak runs entries and agents as processes, injects faults in series and overlapping, and checks: no request that may run once runs twice or after a refusal, no open flow of a live host is reset without a disturbance in the 4 s before, answers are whole and of the right service, packets are unchanged, and requests are answered again afterwards.

Ruled out: faults of clocks, since the processes use the steady clock alone and the soak cannot change it from outside.

--- /dev/null
+++ b/tests/standins/relay/client.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "standins/relay/record.hpp"
+#include "standins/relay/router.hpp"
+#include "standins/relay/udp.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace daisydoor::standins::relay
+{
+
+struct client_options
+{
+    /// Where the client sends from and is reached.
+    core::endpoint address;
+    end service;
+    /// Service that must answer.
+    std::string service_name;
+    /// One flow for many requests that may be repeated, or a flow for each request that must not run twice.
+    bool long_flow = true;
+    core::milliseconds pause{150};
+    core::milliseconds deadline{3000};
+};
+
+/// @brief User that sends one request after the other and checks what it is told.
+class client
+{
+  public:
+    /// @param is_lawful_reset whether the system may reset an open flow now
+    client(loop& owner, client_options options, const router& routers, record& log, std::uint64_t seed,
+           std::function<bool(const flow_id&)> is_lawful_reset);
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    void start();
+    /// @brief Sends no further request.
+    void stop() { m_stopped = true; }
+
+  private:
+    enum class phase
+    {
+        idle,
+        opening,
+        open,
+    };
+
+    struct request_state
+    {
+        request value;
+        core::time_point sent_at;
+        int attempts = 0;
+        /// A host may have begun to work on it.
+        bool may_have_run = false;
+    };
+
+    void next_request();
+    void begin_attempt();
+    void send_syn(int copy);
+    void send_request(int copy);
+    void on_packet(const packet& value);
+    void on_reset(const packet& value);
+    void on_data(const packet& value);
+    void finish(bool answered);
+    void fail_attempt(bool not_run);
+    void forget_flow(bool say_goodbye);
+    void send(std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledgement, const std::string& data);
+    void later(core::milliseconds time, std::function<void()> fn);
+
+    loop& m_loop;
+    client_options m_options;
+    const router& m_router;
+    record& m_record;
+    std::mt19937_64 m_random;
+    std::function<bool(const flow_id&)> m_is_lawful_reset;
+    udp_socket m_socket;
+    bool m_stopped = false;
+    phase m_phase = phase::idle;
+    std::uint16_t m_port = 20'000;
+    flow_id m_flow;
+    std::uint32_t m_own_next = 0;
+    std::uint32_t m_host_next = 0;
+    std::string m_received;
+    std::map<std::uint32_t, std::string> m_early;
+    std::optional<request_state> m_request;
+    /// Timers of an earlier state do nothing.
+    std::uint64_t m_epoch = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace daisydoor::standins::relay
--- /dev/null
+++ b/tests/standins/relay/proxy.cpp
@@ -0,0 +1,137 @@
+#include "standins/relay/proxy.hpp"
+
+#include "standins/relay/udp.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <string>
+
+namespace daisydoor::standins::relay
+{
+
+namespace
+{
+
+constexpr core::milliseconds added_delay{300};
+
+sockaddr_in address_of(const core::endpoint& value)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_addr.s_addr = htonl(ip_of(value));
+    result.sin_port = htons(value.port);
+    return result;
+}
+
+} // namespace
+
+proxy::proxy(loop& owner, const core::endpoint& listen, const core::endpoint& target) : m_loop(owner), m_target(target)
+{
+    const auto address = address_of(listen);
+    m_listener = evconnlistener_new_bind(
+        owner.base(),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<proxy*>(self)->accept(fd); },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<const sockaddr*>(&address),
+        sizeof address);
+    if (m_listener == nullptr) {
+        throw std::runtime_error("the proxy cannot listen at " + core::to_string(listen));
+    }
+}
+
+proxy::~proxy()
+{
+    *m_alive = false;
+    while (!m_pairs.empty()) {
+        close(m_pairs.begin()->first);
+    }
+    evconnlistener_free(m_listener);
+}
+
+void proxy::set_mode(proxy_mode mode)
+{
+    m_mode = mode;
+    if (mode == proxy_mode::reset) {
+        while (!m_pairs.empty()) {
+            close(m_pairs.begin()->first);
+        }
+    } else if (mode == proxy_mode::silence_open) {
+        for (auto& [id, it] : m_pairs) {
+            it->silenced = true;
+        }
+    }
+}
+
+void proxy::accept(evutil_socket_t fd)
+{
+    evutil_make_socket_nonblocking(fd);
+    if (m_mode == proxy_mode::reset) {
+        evutil_closesocket(fd);
+        return;
+    }
+    auto owned = std::make_unique<pair>();
+    auto* value = owned.get();
+    value->owner = this;
+    value->id = m_next_id++;
+    value->near = bufferevent_socket_new(m_loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    value->far = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    for (auto* it : {value->near, value->far}) {
+        bufferevent_setcb(it, &proxy::on_read, nullptr, &proxy::on_event, value);
+        bufferevent_enable(it, EV_READ | EV_WRITE);
+    }
+    const auto address = address_of(m_target);
+    m_pairs[value->id] = std::move(owned);
+    bufferevent_socket_connect(value->far, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+}
+
+void proxy::on_read(bufferevent* from, void* argument)
+{
+    auto* const value = static_cast<pair*>(argument);
+    std::array<char, 16 * 1024> buf{};
+    std::string bytes;
+    for (std::size_t n = bufferevent_read(from, buf.data(), buf.size()); n > 0;
+         n = bufferevent_read(from, buf.data(), buf.size())) {
+        bytes.append(buf.data(), n);
+    }
+    const bool to_near = from == value->far;
+    const auto mode = value->owner->m_mode;
+    if (value->silenced || mode == proxy_mode::silent || (to_near && mode == proxy_mode::cut_answers)) {
+        return;
+    }
+    if (mode == proxy_mode::delay) {
+        value->owner->m_loop.after(
+            added_delay, [owner = value->owner, id = value->id, to_near, bytes, alive = value->owner->m_alive] {
+                if (*alive) {
+                    owner->forward(id, to_near, bytes);
+                }
+            });
+        return;
+    }
+    value->owner->forward(value->id, to_near, std::move(bytes));
+}
+
+void proxy::forward(std::uint64_t id, bool to_near, std::string bytes)
+{
+    if (const auto it = m_pairs.find(id); it != m_pairs.end()) {
+        bufferevent_write(to_near ? it->second->near : it->second->far, bytes.data(), bytes.size());
+    }
+}
+
+void proxy::on_event(bufferevent* /*from*/, short what, void* argument)
+{
+    auto* const value = static_cast<pair*>(argument);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        value->owner->close(value->id);
+    }
+}
+
+void proxy::close(std::uint64_t id)
+{
+    const auto it = m_pairs.find(id);
+    bufferevent_free(it->second->near);
+    bufferevent_free(it->second->far);
+    m_pairs.erase(it);
+}
+
+} // namespace daisydoor::standins::relay
--- /dev/null
+++ b/tests/standins/relay/record.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisydoor::standins::relay
+{
+
+/// @brief A request as its client wrote it: `REQUEST <id> <once|many>`.
+struct request
+{
+    std::uint64_t id = 0;
+    /// Must not run twice.
+    bool once = false;
+};
+
+std::string encode(const request& value);
+std::optional<request> decode_request(const std::string& text);
+
+/// @brief What clients and hosts saw, and the promises that were broken.
+struct record
+{
+    std::map<std::uint64_t, int> runs;
+    std::set<std::uint64_t> sent;
+    /// Requests whose clients were told that nothing has run.
+    std::set<std::uint64_t> told_not_run;
+    std::size_t answered = 0;
+    std::size_t failed = 0;
+    std::size_t resets = 0;
+    std::vector<std::string> violations;
+
+    void violate(const std::string& what) { violations.push_back(what); }
+};
+
+} // namespace daisydoor::standins::relay
--- /dev/null
+++ b/tests/standins/relay/soak.cpp
@@ -0,0 +1,119 @@
+#include "standins/relay/soak.hpp"
+
+#include <functional>
+#include <sstream>
+
+namespace daisydoor::standins::relay
+{
+
+namespace
+{
+
+/// Faults that wait for their end, so that several overlap.
+struct open_fault
+{
+    core::milliseconds left{0};
+    std::function<void()> end;
+};
+
+constexpr core::milliseconds max_fault_time{3000};
+constexpr core::milliseconds max_pause{1500};
+
+/// Starts a random fault; returns its name and how it ends.
+std::pair<std::string, std::function<void()>> begin_fault(world& value, std::mt19937_64& random)
+{
+    const auto pick = [&random](int n) { return static_cast<int>(random() % static_cast<std::uint64_t>(n)); };
+    const int machine = pick(value.machines());
+    const int host = pick(value.hosts());
+    const auto name = [machine](const char* what) { return std::string(what) + ' ' + std::to_string(machine); };
+    const auto restart = [&value, machine] { value.restart(machine); };
+    constexpr int kinds = 10;
+    switch (pick(kinds)) {
+    case 0:
+        value.kill(machine);
+        return {name("kill"), restart};
+    case 1:
+        value.terminate(machine);
+        return {name("terminate"), restart};
+    case 2:
+        value.pause(machine);
+        return {name("pause"), [&value, machine] { value.resume(machine); }};
+    case 3: {
+        const auto mode = static_cast<proxy_mode>(1 + pick(5));
+        value.set_link(machine, mode);
+        return {name("link") + " mode " + std::to_string(static_cast<int>(mode)),
+                [&value, machine] { value.set_link(machine, proxy_mode::pass); }};
+    }
+    case 4: {
+        const auto mode = static_cast<store_mode>(1 + pick(3));
+        value.set_store(mode);
+        return {"store mode " + std::to_string(static_cast<int>(mode)),
+                [&value] { value.set_store(store_mode::normal); }};
+    }
+    case 5:
+        value.compact_store();
+        return {"compact", [] {}};
+    case 6:
+        value.crash_host(host);
+        return {"crash host " + std::to_string(host), [] {}};
+    case 7:
+        value.drain_host(host);
+        return {"drain host " + std::to_string(host), [&value, host] { value.crash_host(host); }};
+    case 8:
+        for (int i = 0; i < value.machines(); ++i) {
+            value.kill(i);
+        }
+        return {"kill all", [&value] {
+                    for (int i = 0; i < value.machines(); ++i) {
+                        value.restart(i);
+                    }
+                }};
+    default:
+        value.publish(pick(2) == 0);
+        return {"publish", [] {}};
+    }
+}
+
+} // namespace
+
+soak_result run_soak(const world_options& options, core::milliseconds time)
+{
+    soak_result result;
+    world value(options);
+    if (!value.start()) {
+        result.violations.emplace_back("nothing is served after the start");
+        return result;
+    }
+    std::mt19937_64 random(options.seed);
+    std::vector<open_fault> open;
+    for (core::milliseconds used{0}; used < time;) {
+        auto [name, end] = begin_fault(value, random);
+        result.faults.push_back(std::to_string(used.count()) + " ms: " + name);
+        const auto limit = static_cast<std::uint64_t>(max_fault_time.count());
+        open.push_back({core::milliseconds(static_cast<std::int64_t>(random() % limit)), std::move(end)});
+        const core::milliseconds pause(
+            static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(max_pause.count())));
+        value.run(pause);
+        used += pause;
+        for (auto it = open.begin(); it != open.end();) {
+            it->left -= pause;
+            if (it->left.count() <= 0) {
+                it->end();
+                it = open.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+    for (const auto& it : open) {
+        it.end();
+    }
+    value.recover();
+    result.violations = value.finish();
+    result.answered = value.seen().answered;
+    result.failed = value.seen().failed;
+    result.resets = value.seen().resets;
+    return result;
+}
+
+} // namespace daisydoor::standins::relay
--- /dev/null
+++ b/tests/standins/relay/store.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "daisydoor/core/endpoint.hpp"
+#include "standins/common/loop.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+struct evhttp;
+struct evhttp_request;
+
+namespace daisydoor::standins::relay
+{
+
+/// @brief How the store treats calls.
+enum class store_mode
+{
+    normal,
+    busy,
+    too_many,
+    /// Calls are taken and never answered.
+    silent,
+};
+
+/// @brief The platform's store: range with pages, watch with waits, lost history.
+class store
+{
+  public:
+    store(loop& owner, const core::endpoint& listen);
+    ~store();
+    store(const store&) = delete;
+    store& operator=(const store&) = delete;
+
+    /// @brief Writes a value; the return is the acknowledgement.
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    /// @brief Drops the history, so that older watches get 410.
+    void compact();
+    void set_mode(store_mode mode) { m_mode = mode; }
+    /// @brief Items on one page; small, so that every read has several.
+    static constexpr std::size_t page_size = 4;
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+
+  private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool removed = false;
+    };
+
+    struct waiting_watch
+    {
+        evhttp_request* request = nullptr;
+        std::uint64_t after = 0;
+    };
+
+    static void on_request(evhttp_request* request, void* self);
+    void answer(evhttp_request* request);
+    void answer_range(evhttp_request* request, const std::string& prefix, const std::string& after);
+    void answer_watch(evhttp_request* request, std::uint64_t after, int wait_ms);
+    std::string events_after(std::uint64_t after) const;
+    void wake();
+
+    loop& m_loop;
+    evhttp* m_server = nullptr;
+    store_mode m_mode = store_mode::normal;
+    std::map<std::string, item> m_items;
+    std::uint64_t m_revision = 10;
+    std::uint64_t m_history_start = 10;
+    std::uint64_t m_calls = 0;
+    std::map<std::uint64_t, waiting_watch> m_watches;
+    std::uint64_t m_next_watch = 1;
+};
+
+} // namespace daisydoor::standins::relay
--- /dev/null
+++ b/tests/standins/relay/world.cpp
@@ -0,0 +1,304 @@
+#include "standins/relay/world.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace daisydoor::standins::relay
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// Last octets of the addresses of each kind of machine.
+constexpr int first_entry = 10;
+constexpr int first_host = 50;
+constexpr int first_client = 150;
+constexpr int store_octet = 250;
+// Offsets of the ports; TCP and UDP have numbers of their own.
+constexpr int packets_port = 0;
+constexpr int admin_port = 1;
+constexpr int outbound_port = 1;
+constexpr int peer_port = 2;
+constexpr int app_port = 3;
+constexpr int link_port = 3;
+
+constexpr std::uint32_t service_ip = 0xc6120001;
+constexpr std::uint16_t service_port = 443;
+constexpr std::uint16_t second_port = 444;
+constexpr const char* service_name = "svc";
+constexpr core::milliseconds step{20};
+/// After a fault a machine counts as undisturbed again (ContactMs).
+constexpr core::milliseconds contact_time{4000};
+constexpr core::milliseconds start_limit{15'000};
+constexpr core::milliseconds recovery_limit{12'000};
+
+} // namespace
+
+world::world(const world_options& options) : m_options(options), m_router(m_loop)
+{
+    std::filesystem::create_directories(m_options.folder);
+    m_store = std::make_unique<store>(m_loop, address(store_octet, admin_port));
+    for (int i = 0; i < m_options.entries + m_options.hosts; ++i) {
+        machine value;
+        value.is_entry = i < m_options.entries;
+        value.last_octet = value.is_entry ? first_entry + i : first_host + i - m_options.entries;
+        value.name = (value.is_entry ? "entry-" : "agent-") + std::to_string(value.last_octet);
+        value.link =
+            std::make_unique<proxy>(m_loop, address(value.last_octet, link_port), address(store_octet, admin_port));
+        m_machines.push_back(std::move(value));
+    }
+    m_hosts.resize(static_cast<std::size_t>(m_options.hosts));
+    m_incarnations.resize(m_hosts.size());
+    m_draining.resize(m_hosts.size());
+    publish(true);
+    for (int i = 0; i < m_options.hosts; ++i) {
+        start_host(i);
+    }
+}
+
+world::~world() = default;
+
+core::endpoint world::address(int last_octet, int offset) const
+{
+    return core::parse_endpoint(m_range.address(last_octet, offset));
+}
+
+void world::write_settings(const machine& value, bool first_start) const
+{
+    const auto at = [&value, this](int offset) { return '"' + m_range.address(value.last_octet, offset) + '"'; };
+    const int peer = address(value.last_octet, peer_port).port;
+    std::ofstream out(m_options.folder + '/' + value.name + ".yaml");
+    out << "role: " << (value.is_entry ? "relay_entry" : "relay_agent") << "\nname: " << value.name
+        << "\nzone: " << (value.last_octet % 2 == 0 ? "a" : "b") << "\npackets: " << at(packets_port)
+        << "\nadmin: " << at(admin_port) << "\npeer_port: " << peer << "\nplatform: " << at(link_port) << "\nseeds: [\""
+        << m_range.address(first_entry, admin_port) << "\"]\nfirst_start: " << (first_start ? "true" : "false")
+        << "\ngrace_s: 3\n";
+    if (!value.is_entry) {
+        out << "agent:\n  service: " << service_name << "\n  host: " << at(app_port)
+            << "\n  outbound: " << at(outbound_port) << '\n';
+    }
+}
+
+void world::start_process(machine& value)
+{
+    value.process = support::child_process(
+        {m_options.binaries + "/apps/daisydoor", "--config", m_options.folder + '/' + value.name + ".yaml"},
+        m_options.folder + '/' + value.name + ".log");
+    value.paused = false;
+}
+
+void world::start_host(int index)
+{
+    const auto i = static_cast<std::size_t>(index);
+    const int octet = first_host + index;
+    host_options options;
+    options.id = "i-" + std::to_string(octet) + '-' + std::to_string(++m_incarnations[i]);
+    options.service = service_name;
+    options.app = address(octet, app_port);
+    options.outbound = address(octet, outbound_port);
+    m_hosts[i] = std::make_unique<host>(m_loop, options, m_record);
+    m_draining[i] = false;
+    publish_host(index, "ready");
+}
+
+void world::publish_host(int index, const char* state)
+{
+    const auto i = static_cast<std::size_t>(index);
+    const auto& options = m_hosts[i]->options();
+    const json value{{"Service", options.service},
+                     {"Address", core::to_string(options.app)},
+                     {"Zone", (first_host + index) % 2 == 0 ? "a" : "b"},
+                     {"Version", "v1"},
+                     {"Concurrency", options.slots},
+                     {"State", state},
+                     {"ColdRemainingMs", 0},
+                     {"Sequence", 1},
+                     {"born", 1'700'000'000'000 + m_incarnations[i]}};
+    m_store->put("servers/" + options.id, value.dump());
+}
+
+void world::publish(bool with_second_route)
+{
+    json routes = json::array();
+    const auto add = [&routes](std::uint16_t port) {
+        routes.push_back({{"Name", "r" + std::to_string(port)},
+                          {"Host", "198.18.0.1"},
+                          {"Prefix", '/' + std::to_string(port) + '/'},
+                          {"Type", "idempotent"},
+                          {"TimeoutMs", 3000},
+                          {"TargetLatencyMs", 200},
+                          {"Priority", 1},
+                          {"Service", service_name}});
+    };
+    add(service_port);
+    if (with_second_route) {
+        add(second_port);
+    }
+    m_version += 3;
+    m_store->put("op/config",
+                 json{{"Version", m_version}, {"Routes", routes}, {"Limits", {{"IdleTimeoutMs", 15000}}}}.dump());
+}
+
+bool world::start()
+{
+    for (auto& it : m_machines) {
+        write_settings(it, true);
+        start_process(it);
+        write_settings(it, false);
+        if (it.is_entry) {
+            m_router.add(address(it.last_octet, packets_port), address(it.last_octet, admin_port));
+        }
+    }
+    m_router.start();
+    for (core::milliseconds used{0}; used < start_limit && m_router.ready_count() < 1; used += step) {
+        run(step);
+    }
+    add_users();
+    for (core::milliseconds used{0}; used < start_limit && m_record.answered < 20; used += step) {
+        run(step);
+    }
+    return m_record.answered >= 20;
+}
+
+void world::add_users()
+{
+    for (int i = 0; i < m_options.users; ++i) {
+        client_options options;
+        options.address = address(first_client + i, packets_port);
+        options.service = {service_ip, service_port};
+        options.service_name = service_name;
+        options.long_flow = i % 2 == 0;
+        m_clients.push_back(std::make_unique<client>(m_loop, options, m_router, m_record,
+                                                     m_options.seed * 1000 + static_cast<std::uint64_t>(i),
+                                                     [this](const flow_id& id) { return is_lawful_reset(id); }));
+        m_clients.back()->start();
+    }
+}
+
+void world::run(core::milliseconds time)
+{
+    m_loop.after(time, [this] { m_loop.stop(); });
+    m_loop.run();
+}
+
+bool world::is_lawful_reset(const flow_id& id) const
+{
+    if (core::clock::now() - m_last_fault < contact_time) {
+        return true;
+    }
+    for (const auto& it : m_hosts) {
+        if (it->holds(id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void world::note_fault() { m_last_fault = core::clock::now(); }
+
+void world::kill(int machine)
+{
+    note_fault();
+    m_machines.at(static_cast<std::size_t>(machine)).process.kill();
+}
+
+void world::terminate(int machine) { m_machines.at(static_cast<std::size_t>(machine)).process.send_signal(SIGTERM); }
+
+void world::pause(int machine)
+{
+    note_fault();
+    auto& it = m_machines.at(static_cast<std::size_t>(machine));
+    if (it.process.is_running()) {
+        it.process.send_signal(SIGSTOP);
+        it.paused = true;
+    }
+}
+
+void world::resume(int machine)
+{
+    note_fault();
+    auto& it = m_machines.at(static_cast<std::size_t>(machine));
+    if (it.paused) {
+        it.process.send_signal(SIGCONT);
+        it.paused = false;
+    }
+}
+
+void world::restart(int machine)
+{
+    auto& it = m_machines.at(static_cast<std::size_t>(machine));
+    if (!it.process.is_running()) {
+        start_process(it);
+    }
+}
+
+void world::set_link(int machine, proxy_mode mode)
+{
+    note_fault();
+    m_machines.at(static_cast<std::size_t>(machine)).link->set_mode(mode);
+}
+
+void world::set_store(store_mode mode)
+{
+    note_fault();
+    m_store->set_mode(mode);
+}
+
+void world::crash_host(int index)
+{
+    note_fault();
+    const auto i = static_cast<std::size_t>(index);
+    m_store->remove("servers/" + m_hosts[i]->options().id);
+    m_hosts[i].reset();
+    start_host(index);
+}
+
+void world::drain_host(int index)
+{
+    m_draining[static_cast<std::size_t>(index)] = true;
+    publish_host(index, "draining");
+}
+
+void world::recover()
+{
+    set_store(store_mode::normal);
+    for (int i = 0; i < machines(); ++i) {
+        set_link(i, proxy_mode::pass);
+        resume(i);
+        restart(i);
+    }
+    for (int i = 0; i < m_options.hosts; ++i) {
+        if (m_draining[static_cast<std::size_t>(i)]) {
+            crash_host(i);
+        }
+    }
+    run(recovery_limit);
+    const auto answered = m_record.answered;
+    const auto failed = m_record.failed;
+    run(core::milliseconds(2000));
+    const auto more = m_record.answered - answered;
+    if (more == 0 || (m_record.failed - failed) * 4 > more) {
+        m_record.violate("after the faults only " + std::to_string(more) + " requests are answered in 2 s");
+    }
+}
+
+std::vector<std::string> world::finish()
+{
+    for (const auto& it : m_clients) {
+        it->stop();
+    }
+    run(core::milliseconds(500));
+    for (auto& it : m_machines) {
+        const bool was_running = it.process.is_running();
+        if (!was_running) {
+            m_record.violate(it.name + " ended by itself");
+        }
+        it.process.stop();
+    }
+    return m_record.violations;
+}
+
+} // namespace daisydoor::standins::relay
--- /dev/null
+++ b/tests/standins/relay/world.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "standins/relay/client.hpp"
+#include "standins/relay/host.hpp"
+#include "standins/relay/proxy.hpp"
+#include "standins/relay/store.hpp"
+#include "support/child_process.hpp"
+#include "support/loopback.hpp"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisydoor::standins::relay
+{
+
+struct world_options
+{
+    int entries = 3;
+    int hosts = 4;
+    int users = 8;
+    std::uint64_t seed = 1;
+    /// Folder of the daisydoor program's build.
+    std::string binaries;
+    std::string folder;
+};
+
+/// @brief Real relaying processes on loopback with stand-ins for everything around them, and the checks of the
+/// promises.
+class world
+{
+  public:
+    explicit world(const world_options& options);
+    ~world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    /// @brief Starts the processes and the users, and runs until requests are answered.
+    /// @return whether that came to pass
+    bool start();
+    void run(core::milliseconds time);
+
+    // Faults. Machines are numbered from 0: entries first, then the machines of the hosts.
+    void kill(int machine);
+    void terminate(int machine);
+    void pause(int machine);
+    void resume(int machine);
+    /// @brief Starts a process again that was killed or has ended.
+    void restart(int machine);
+    void set_link(int machine, proxy_mode mode);
+    void set_store(store_mode mode);
+    void compact_store() { m_store->compact(); }
+    /// @brief The host's process is killed and starts again with nothing.
+    void crash_host(int index);
+    void drain_host(int index);
+    /// @brief Publishes a new version; `with_second_route` adds or drops the route that no user needs.
+    void publish(bool with_second_route);
+
+    /// @brief Ends all faults and checks that requests are answered again.
+    void recover();
+    /// @brief Ends the users. @return what was broken, one line each
+    std::vector<std::string> finish();
+
+    [[nodiscard]] const record& seen() const { return m_record; }
+    [[nodiscard]] int machines() const { return static_cast<int>(m_machines.size()); }
+    [[nodiscard]] int hosts() const { return m_options.hosts; }
+    [[nodiscard]] const store& platform() const { return *m_store; }
+
+  private:
+    struct machine
+    {
+        std::string name;
+        int last_octet = 0;
+        bool is_entry = false;
+        bool paused = false;
+        support::child_process process;
+        std::unique_ptr<proxy> link;
+    };
+
+    core::endpoint address(int last_octet, int offset) const;
+    void write_settings(const machine& value, bool first_start) const;
+    void start_process(machine& value);
+    void start_host(int index);
+    void publish_host(int index, const char* state);
+    void add_users();
+    bool is_lawful_reset(const flow_id& id) const;
+    void note_fault();
+
+    world_options m_options;
+    support::loopback_range m_range;
+    loop m_loop;
+    record m_record;
+    std::unique_ptr<store> m_store;
+    router m_router;
+    std::vector<machine> m_machines;
+    std::vector<std::unique_ptr<host>> m_hosts;
+    std::vector<int> m_incarnations;
+    std::vector<bool> m_draining;
+    std::vector<std::unique_ptr<client>> m_clients;
+    std::uint64_t m_version = 0;
+    core::time_point m_last_fault;
+};
+
+} // namespace daisydoor::standins::relay
