--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -3,6 +3,7 @@
 #include "daisydoor/relay/actions.hpp"
 #include "daisydoor/relay/entry_relay.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
+#include "daisydoor/relay/host_health.hpp"
 #include "daisydoor/relay/placement.hpp"
 #include "daisydoor/relay/work_gate.hpp"
 
@@ -164,6 +165,9 @@
     void sweep(core::time_point now);
     [[nodiscard]] bool may_hold_unknown(core::time_point now) const noexcept;
     [[nodiscard]] bool accepts() const noexcept;
+    void note_outcome(bool answered, const flow_key& flow, core::time_point now, actions& out);
+    /// @brief Whether the host is failing and few enough peers are avoided to avoid it too.
+    [[nodiscard]] bool is_avoided() const noexcept;
     std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, core::time_point now) const;
     std::vector<ipv4> possible_holders(const known_route& route) const;
 
@@ -178,6 +182,7 @@
     const fleet_view& m_view;
     flow_map m_flows;
     work_gate m_gate;
+    host_health m_health;
     std::deque<opening_record> m_openings;
     std::unordered_map<std::uint32_t, reported_load> m_reports;
     std::uint32_t m_in_flight = 0;
--- a/include/daisydoor/relay/placement.hpp
+++ b/include/daisydoor/relay/placement.hpp
@@ -45,8 +45,10 @@
 ///
 /// Load pattern: bursts, and long flows that pin work to one host, leave hosts of one service unequally busy while the
 /// entries keep spreading new flows evenly. A flow is passed on only to a peer that is less busy by a margin, which is
-/// larger across availability zones, so that equal hosts do not trade flows.
+/// larger across availability zones, so that equal hosts do not trade flows. Many agents see the same reports at the
+/// same time: each flow chooses among all such peers by its hash, in proportion to how much less busy they are.
 /// @return the peer, or nullptr to keep the flow
-const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers) noexcept;
+const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers,
+                                  std::uint64_t flow_hash) noexcept;
 
 } // namespace daisydoor::relay
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -109,9 +109,13 @@
     const bool is_allowed = own && route->allows(*own);
     auto load = this->load();
     load.accepts = load.accepts && is_allowed;
+    if (is_allowed && is_avoided() && !m_draining && !m_suspected && m_health.take_probe(now)) {
+        give_to_host(value, bytes, now, out);
+        return;
+    }
     // One hop for load: the sender's report of this host was newer than what this host knows of others.
     const bool may_pass = load.accepts ? value.hops == 0 : value.hops < max_hops;
-    const auto* peer = may_pass ? choose_less_busy(load, peers) : nullptr;
+    const auto* peer = may_pass ? choose_less_busy(load, peers, hash_of(value.flow)) : nullptr;
     if (peer != nullptr) {
         pass_on(value.flow, bytes, value.entry, value.hops, peer, load.accepts ? "less_busy" : "own_host_closed", now,
                 out);
@@ -123,7 +127,8 @@
         out.push_back(send_to_host{bytes, value.entry});
         return;
     }
-    if (load.accepts || (is_allowed && m_suspected && !m_draining)) {
+    const bool is_last_resort = is_allowed && (m_suspected || m_health.is_failing()) && !m_draining;
+    if (load.accepts || is_last_resort) {
         give_to_host(value, bytes, now, out);
         return;
     }
@@ -331,6 +336,9 @@
         record.host_sequence = end;
     }
     if (value.payload_size > 0 || value.fin || value.rst) {
+        if (record.in_service) {
+            note_outcome(value.payload_size > 0, value.flow, now, out);
+        }
         set_busy(value.flow, record, false, now);
     }
     set_closing(record, record.client_fin || value.rst, record.host_fin || value.fin || value.rst);
@@ -372,11 +380,16 @@
     }
     const auto opening = *it;
     m_openings.erase(it);
+    if (const auto record = m_flows.find(value.flow);
+        record == m_flows.end() || record->second.phase != flow_phase::opening) {
+        // A late copy: the host has accepted the flow before.
+        return;
+    }
     const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
     const auto peers = route != nullptr ? usable_peers(*route, value.flow, now) : std::vector<peer_load>();
     host_load closed = load();
     closed.accepts = false;
-    const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers) : nullptr;
+    const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers, hash_of(value.flow)) : nullptr;
     if (!pass_on(value.flow, bytes, opening.entry, opening.hops, peer, "host_returned", now, out)) {
         set_busy(value.flow, m_flows[value.flow], false, now);
         m_flows.erase(value.flow);
@@ -473,7 +486,7 @@
         const auto peers = route != nullptr ? usable_peers(*route, opening.flow, now) : std::vector<peer_load>();
         host_load closed = load();
         closed.accepts = false;
-        const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers) : nullptr;
+        const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers, hash_of(opening.flow)) : nullptr;
         m_sent_again.push_back(opening.bytes);
         const wire::bytes_view bytes{m_sent_again.back().data(), opening_packet_size};
         if (!pass_on(opening.flow, bytes, opening.entry, opening.hops, peer, "host_unanswered", now, out)) {
@@ -595,7 +608,35 @@
 bool agent_relay::accepts() const noexcept
 {
     const auto* own = m_view.find_host(m_options.self);
-    return !m_draining && !m_suspected && own != nullptr && own->is_usable();
+    return !m_draining && !m_suspected && own != nullptr && own->is_usable() && !is_avoided();
+}
+
+bool agent_relay::is_avoided() const noexcept
+{
+    if (!m_health.is_failing()) {
+        return false;
+    }
+    const auto own = m_view.find_service(m_options.service);
+    if (!own) {
+        return false;
+    }
+    std::size_t avoided = 0;
+    const auto& hosts = m_view.hosts_of(*own);
+    for (const auto* it : hosts) {
+        const auto found = m_reports.find(static_cast<std::uint32_t>(it->value.address));
+        avoided += found != m_reports.end() && !found->second.load.accepts ? 1 : 0;
+    }
+    return may_avoid(avoided, hosts.size());
+}
+
+void agent_relay::note_outcome(bool answered, const flow_key& flow, core::time_point now, actions& out)
+{
+    const bool was_failing = m_health.is_failing();
+    m_health.on_outcome(answered, now);
+    if (m_health.is_failing() != was_failing) {
+        out.push_back(decision_record{was_failing ? decision::host_answers : decision::host_suspected, flow,
+                                      m_options.self, 0, load(), was_failing ? "recovered" : "requests_fail"});
+    }
 }
 
 bool agent_relay::may_hold_unknown(core::time_point now) const noexcept
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -17,6 +17,8 @@
 constexpr double margin_in_zone = 0.25;
 /// Bytes between availability zones cost more, and the path adds milliseconds.
 constexpr double margin_across_zones = 0.5;
+/// A host that takes no flows spreads them over the peers within this pressure of the least busy one.
+constexpr double spread_when_closed = 0.3;
 /// Slope of the pressure above one request a slot, where it continues the square below.
 constexpr double queue_slope = 2;
 
@@ -97,19 +99,31 @@
     return wait + flow_pressure * load.open_flows / slots;
 }
 
-const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers) noexcept
+const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers,
+                                  std::uint64_t flow_hash) noexcept
 {
     const peer_load* result = nullptr;
-    double best = own.accepts ? pressure_of(own, 0) : std::numeric_limits<double>::max();
+    double best = std::numeric_limits<double>::max();
+    // A host that takes no flows is left at any price, for the least busy peers.
+    double limit = own.accepts ? pressure_of(own, 0) : 0;
+    const auto cost = [](const peer_load& it) {
+        return pressure_of(it.load, it.passed) + (it.in_own_zone ? margin_in_zone : margin_across_zones);
+    };
+    if (!own.accepts) {
+        double least = std::numeric_limits<double>::max();
+        for (const auto& it : peers) {
+            least = it.load.accepts ? std::min(least, cost(it)) : least;
+        }
+        limit = least + spread_when_closed;
+    }
     for (const auto& it : peers) {
-        if (!it.load.accepts) {
+        const double headroom = limit - cost(it);
+        if (!it.load.accepts || headroom <= 0) {
             continue;
         }
-        // A host that takes no flows is left at any price.
-        const double margin = it.in_own_zone ? margin_in_zone : margin_across_zones;
-        const double pressure = pressure_of(it.load, it.passed) + margin;
-        if (pressure < best) {
-            best = pressure;
+        const auto member = static_cast<std::uint64_t>(it.agent);
+        if (const double distance = core::rendezvous_distance(flow_hash, member) / headroom; distance < best) {
+            best = distance;
             result = &it;
         }
     }
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -228,6 +228,83 @@
     EXPECT_EQ(m_agent->load().open_flows, 0U);
 }
 
+// Guards against a reset of an open flow because its host returns a copy of the opening packet that arrives late
+// (scale-2 of diallo-meules-grown).
+TEST_F(agent_relay_test, returned_copy_of_opening_packet_leaves_open_flow_alone)
+{
+    open(make_flow());
+    on_packet(make_syn(make_flow(), 1));
+    on_host_packet(returned(make_syn(make_flow(), 1)));
+    EXPECT_TRUE(take<reset_client>().empty());
+    EXPECT_TRUE(take<send_to_agent>().empty());
+    EXPECT_EQ(m_agent->load().open_flows, 1U);
+}
+
+// Guards against a host that fails every request at once and therefore always looks free: five such hosts of 49 took a
+// third of all requests (trouble-3 of tuul-dues-grown).
+TEST_F(agent_relay_test, host_that_resets_requests_gets_no_flows)
+{
+    for (std::uint16_t i = 0; i < 5; ++i) {
+        const auto flow = make_flow(static_cast<std::uint16_t>(40000 + i));
+        open(flow);
+        auto value = make_packet(flow);
+        value.payload_size = 10;
+        on_packet(value);
+        auto reset = make_packet(flow);
+        reset.rst = true;
+        on_host_packet(reset);
+    }
+    EXPECT_FALSE(m_agent->load().accepts);
+    on_packet(make_syn(make_flow(40100)));
+    EXPECT_EQ(take<send_to_agent>().size(), 1U);
+}
+
+// Guards against a host that stays avoided after it has recovered: one flow now and then probes it.
+TEST_F(agent_relay_test, failing_host_is_probed_and_used_again)
+{
+    const auto fail = [this](std::uint16_t port, bool answers) {
+        open(make_flow(port));
+        auto value = make_packet(make_flow(port));
+        value.payload_size = 10;
+        on_packet(value);
+        auto answer = make_packet(make_flow(port));
+        answer.rst = !answers;
+        answer.payload_size = answers ? 100 : 0;
+        on_host_packet(answer);
+    };
+    for (std::uint16_t i = 0; i < 5; ++i) {
+        fail(static_cast<std::uint16_t>(40000 + i), false);
+    }
+    ASSERT_FALSE(m_agent->load().accepts);
+    std::uint16_t port = 41000;
+    for (int i = 0; i < 40 && !m_agent->load().accepts; ++i) {
+        tick(failing_probe_interval);
+        on_packet(make_syn(make_flow(++port)));
+        ASSERT_EQ(take<send_to_host>().size(), 1U) << "one flow probes the host";
+        fail(port, true);
+    }
+    EXPECT_TRUE(m_agent->load().accepts);
+}
+
+// Guards against a service that avoids most of its hosts: above the ceiling the others cannot carry the load.
+TEST_F(agent_relay_test, failing_host_stays_in_use_above_ceiling)
+{
+    for (std::uint32_t n = 2; n <= 3; ++n) {
+        on_message(agent_address(n), host_load{0, 0, 5, false});
+    }
+    for (std::uint16_t i = 0; i < 5; ++i) {
+        const auto flow = make_flow(static_cast<std::uint16_t>(40000 + i));
+        open(flow);
+        auto value = make_packet(flow);
+        value.payload_size = 10;
+        on_packet(value);
+        auto reset = make_packet(flow);
+        reset.rst = true;
+        on_host_packet(reset);
+    }
+    EXPECT_TRUE(m_agent->load().accepts);
+}
+
 // Guards against queues at one host while its peers are free: a burst that reaches one agent.
 TEST_F(agent_relay_test, burst_at_one_agent_is_shared_with_peers)
 {
