--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -78,13 +78,8 @@
     /// @brief New flows go to peers from now on; open flows stay.
     void start_drain() noexcept { m_draining = true; }
 
-    /// @brief The host's process is known to be gone: its flows are lost.
-    void on_host_gone(core::time_point now, actions& out);
-
     [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
     [[nodiscard]] host_load load() const noexcept;
-    /// @brief Whether packets for the host stay unanswered, so that the driver may ask whether its process lives.
-    [[nodiscard]] bool is_host_suspected() const noexcept { return m_suspected; }
 
   private:
     enum class flow_phase : std::uint8_t
@@ -154,6 +149,8 @@
     void on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
     void on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    bool pass_on_from_closed_host(const opening_record& opening, wire::bytes_view bytes, std::string_view reason,
+                                  core::time_point now, actions& out);
     void deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_returned(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_returned_opening(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] bool allows(service_index service) const noexcept;
 };
 
+/// Used until the configuration names an idle timeout.
+constexpr core::milliseconds default_idle_timeout{15'000};
+
 /// @brief What an update changed.
 struct view_change
 {
@@ -89,7 +92,11 @@
     [[nodiscard]] bool is_ready() const noexcept { return m_version != route_version{}; }
     [[nodiscard]] route_version version() const noexcept { return m_version; }
     [[nodiscard]] relay::revision revision() const noexcept { return m_revision; }
-    [[nodiscard]] core::milliseconds idle_timeout() const noexcept { return m_idle_timeout; }
+    /// @brief Time after which a flow without packets may be forgotten.
+    [[nodiscard]] core::milliseconds idle_timeout() const noexcept
+    {
+        return m_idle_timeout.count() > 0 ? m_idle_timeout : default_idle_timeout;
+    }
     [[nodiscard]] std::size_t route_count() const noexcept { return m_routes.size(); }
 
     /// @return nullptr if no route has this address. Complexity: constant; no allocation.
--- /dev/null
+++ b/src/relay/agent_load.cpp
@@ -0,0 +1,194 @@
+#include "daisydoor/relay/agent_relay.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+/// Both ends retransmit their last packets for up to 1.6 s.
+constexpr core::milliseconds closed_flow_time{3000};
+/// Work of a client that gave up without a word counts no longer; no route's timeout is longer than this.
+constexpr core::milliseconds default_busy_limit{5000};
+/// A host returns a packet of a foreign flow at once; after this time it holds the flow.
+constexpr core::milliseconds probing_time{200};
+
+} // namespace
+
+void agent_relay::note_host_answer(core::time_point now, actions& out)
+{
+    m_opening_misses = 0;
+    if (m_suspected) {
+        m_suspected = false;
+        m_next_report = now;
+        out.push_back(decision_record{decision::host_answers, {}, m_options.self, 0, load(), ""});
+    }
+}
+
+void agent_relay::report(core::time_point now, actions& out)
+{
+    const auto current = load();
+    const bool is_changed = current.in_flight != m_reported.in_flight || current.open_flows != m_reported.open_flows ||
+                            current.accepts != m_reported.accepts;
+    if (now < m_next_report || (!is_changed && now < m_next_idle_report)) {
+        return;
+    }
+    m_next_report = now + report_interval;
+    m_next_idle_report = now + idle_report_interval;
+    m_reported = current;
+    const auto own = m_view.find_service(m_options.service);
+    if (!own) {
+        return;
+    }
+    for (const auto* it : m_view.hosts_of(*own)) {
+        if (it->value.address != m_options.self) {
+            out.push_back(send_message{it->value.address, current});
+        }
+    }
+}
+
+void agent_relay::sweep(core::time_point now)
+{
+    const auto idle = m_view.idle_timeout();
+    for (auto it = m_flows.begin(); it != m_flows.end();) {
+        auto& record = it->second;
+        const auto age = now - record.touched;
+        if (record.busy && now - record.busy_since > default_busy_limit) {
+            set_busy(it->first, record, false, now);
+        }
+        if (record.phase == flow_phase::probing && now - record.phase_since > probing_time && !m_suspected) {
+            set_phase(record, flow_phase::held, now);
+        }
+        const bool is_closed = record.client_fin && record.host_fin && age > closed_flow_time;
+        const bool is_lost = record.phase == flow_phase::lost && age > lost_flow_time;
+        const bool is_stuck = record.phase == flow_phase::opening && age > closed_flow_time;
+        if (is_closed || is_lost || is_stuck || age > idle) {
+            set_busy(it->first, record, false, now);
+            set_phase(record, flow_phase::lost, now);
+            it = m_flows.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void agent_relay::confirm(const flow_key& flow, ipv4 entry, actions& out)
+{
+    if (entry != ipv4{}) {
+        out.push_back(send_message{entry, flow_found{flow, load()}});
+    }
+}
+
+void agent_relay::set_busy(const flow_key& flow, flow_record& record, bool busy, core::time_point now)
+{
+    if (record.busy != busy) {
+        record.busy = busy;
+        m_in_flight += busy ? 1 : -1;
+    }
+    if (busy) {
+        record.busy_since = now;
+        return;
+    }
+    record.in_service = false;
+    m_gate.on_end(flow);
+}
+
+void agent_relay::set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept
+{
+    const bool was_open = is_open(record);
+    record.phase = phase;
+    record.phase_since = now;
+    m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
+}
+
+void agent_relay::set_closing(flow_record& record, bool client_fin, bool host_fin) noexcept
+{
+    const bool was_open = is_open(record);
+    record.client_fin = client_fin;
+    record.host_fin = host_fin;
+    m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
+}
+
+bool agent_relay::is_open(const flow_record& record) noexcept
+{
+    return record.phase == flow_phase::held && !record.client_fin && !record.host_fin;
+}
+
+host_load agent_relay::load() const noexcept { return {m_in_flight, m_open_flows, slots(), accepts()}; }
+
+std::uint32_t agent_relay::slots() const noexcept
+{
+    const auto* own = m_view.find_host(m_options.self);
+    return own != nullptr ? own->value.slots : 1;
+}
+
+bool agent_relay::accepts() const noexcept
+{
+    const auto* own = m_view.find_host(m_options.self);
+    return !m_draining && !m_suspected && own != nullptr && own->is_usable() && !is_avoided();
+}
+
+bool agent_relay::is_avoided() const noexcept
+{
+    if (!m_health.is_failing()) {
+        return false;
+    }
+    const auto own = m_view.find_service(m_options.service);
+    if (!own) {
+        return false;
+    }
+    std::size_t avoided = 0;
+    const auto& hosts = m_view.hosts_of(*own);
+    for (const auto* it : hosts) {
+        const auto found = m_reports.find(static_cast<std::uint32_t>(it->value.address));
+        avoided += found != m_reports.end() && !found->second.load.accepts ? 1 : 0;
+    }
+    return may_avoid(avoided, hosts.size());
+}
+
+void agent_relay::note_outcome(bool answered, const flow_key& flow, core::time_point now, actions& out)
+{
+    const bool was_failing = m_health.is_failing();
+    m_health.on_outcome(answered, now);
+    if (m_health.is_failing() != was_failing) {
+        out.push_back(decision_record{was_failing ? decision::host_answers : decision::host_suspected, flow,
+                                      m_options.self, 0, load(), was_failing ? "recovered" : "requests_fail"});
+    }
+}
+
+std::vector<peer_load> agent_relay::usable_peers(const known_route& route, const flow_key& flow,
+                                                 core::time_point now) const
+{
+    std::vector<peer_load> result;
+    const auto add = [&](service_index service) {
+        for (const auto* it : m_view.hosts_of(service)) {
+            const auto address = it->value.address;
+            if (!it->is_usable() || address == m_options.self) {
+                continue;
+            }
+            peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0};
+            // A peer that never reported may have just started, or serve another service of the route.
+            if (const auto found = m_reports.find(static_cast<std::uint32_t>(address)); found != m_reports.end()) {
+                entry.load = found->second.load;
+                entry.passed = found->second.passed;
+                entry.load.accepts = entry.load.accepts && now - found->second.at < peer_report_timeout;
+            }
+            result.push_back(entry);
+        }
+    };
+    // The weights of the route hold as long as its chosen service has a host.
+    const auto chosen = fleet_view::choose_service(route, hash_of(flow));
+    add(chosen);
+    if (result.empty()) {
+        for (const auto& choice : route.services) {
+            if (choice.weight > 0 && choice.service != chosen) {
+                add(choice.service);
+            }
+        }
+    }
+    return result;
+}
+
+} // namespace daisydoor::relay
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -1,7 +1,6 @@
 #include "daisydoor/relay/agent_relay.hpp"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace daisydoor::relay
@@ -10,19 +9,8 @@
 namespace
 {
 
+/// Flows are swept this often; one that is kept a little too long costs only its memory.
 constexpr core::milliseconds sweep_interval{500};
-/// Used until the configuration names an idle timeout.
-constexpr core::milliseconds default_idle_timeout{15'000};
-/// Both ends retransmit their last packets for up to 1.6 s.
-constexpr core::milliseconds closed_flow_time{3000};
-/// Work of a client that gave up without a word counts no longer; no route's timeout is longer than this.
-constexpr core::milliseconds default_busy_limit{5000};
-/// A host returns a packet of a foreign flow at once; after this time it holds the flow.
-constexpr core::milliseconds probing_time{200};
-
-/// A client acknowledges what its host sent within this distance, about three times its window; the sequences of two
-/// hosts are random and rarely this close.
-constexpr std::uint32_t max_acknowledgement_distance = 1U << 18U;
 
 /// Age of the n-th copy of an opening packet: clients send copies 200 and 600 ms after the first.
 core::milliseconds age_of_copy(std::uint32_t copies) noexcept
@@ -194,6 +182,20 @@
     return true;
 }
 
+bool agent_relay::pass_on_from_closed_host(const opening_record& opening, wire::bytes_view bytes,
+                                           std::string_view reason, core::time_point now, actions& out)
+{
+    const auto* route = m_view.find_route(opening.flow.service, opening.flow.service_port);
+    if (route == nullptr || opening.hops >= max_hops) {
+        return false;
+    }
+    host_load closed = load();
+    closed.accepts = false;
+    const auto peers = usable_peers(*route, opening.flow, now);
+    const auto* peer = choose_less_busy(closed, peers, hash_of(opening.flow));
+    return pass_on(opening.flow, bytes, opening.entry, opening.hops, peer, reason, now, out);
+}
+
 void agent_relay::deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                           actions& out)
 {
@@ -256,91 +258,6 @@
     }
 }
 
-void agent_relay::on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
-{
-    auto& record = m_flows[value.flow];
-    record.entry = value.entry;
-    record.touched = now;
-    if (may_hold_unknown(now)) {
-        set_phase(record, flow_phase::probing, now);
-        out.push_back(send_to_host{bytes, value.entry});
-        return;
-    }
-    search(record, value, bytes, now, out);
-}
-
-void agent_relay::search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
-                         actions& out)
-{
-    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
-    record.asked = route != nullptr ? possible_holders(*route) : std::vector<ipv4>();
-    set_phase(record, flow_phase::searching, now);
-    out.push_back(decision_record{decision::search_started, value.flow, {}, 0, {}, ""});
-    record.searched = record.asked;
-    record.reset_sequence = value.acknowledgement;
-    if (record.asked.empty()) {
-        await_confirmation(record, value.flow, now);
-        return;
-    }
-    for (const auto peer : record.asked) {
-        out.push_back(send_to_agent{peer, bytes, value.entry, 1, packet_path::search});
-    }
-}
-
-void agent_relay::await_confirmation(flow_record& record, const flow_key& flow, core::time_point now)
-{
-    set_phase(record, flow_phase::unconfirmed, now);
-    m_unconfirmed.push_back(flow);
-}
-
-void agent_relay::on_view_confirmed(core::time_point since, core::time_point now, actions& out)
-{
-    std::vector<flow_key> later;
-    for (const auto& flow : std::exchange(m_unconfirmed, {})) {
-        const auto it = m_flows.find(flow);
-        if (it == m_flows.end() || it->second.phase != flow_phase::unconfirmed) {
-            continue;
-        }
-        auto& record = it->second;
-        if (record.phase_since > since) {
-            later.push_back(flow);
-            continue;
-        }
-        const auto* route = m_view.find_route(flow.service, flow.service_port);
-        if (route != nullptr && possible_holders(*route) != record.searched) {
-            // The client's next packet starts another search, which asks the hosts that were missing.
-            m_flows.erase(it);
-            continue;
-        }
-        lose(record, flow, record.reset_sequence, "held_nowhere", now, out);
-    }
-    m_unconfirmed = std::move(later);
-}
-
-void agent_relay::on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
-{
-    const auto it = m_flows.find(value.flow);
-    if (it != m_flows.end() && (it->second.phase == flow_phase::held || it->second.phase == flow_phase::opening) &&
-        !is_of_other_host(it->second, value)) {
-        it->second.entry = value.entry;
-        deliver(it->second, value, bytes, now, out);
-        confirm(value.flow, value.entry, out);
-        confirm(value.flow, from, out);
-        return;
-    }
-    const bool may_try = may_hold_unknown(now) && (it == m_flows.end() || it->second.phase == flow_phase::probing);
-    if (!may_try) {
-        out.push_back(send_message{from, flow_unknown{value.flow}});
-        return;
-    }
-    auto& record = m_flows[value.flow];
-    set_phase(record, flow_phase::probing, now);
-    record.entry = value.entry;
-    record.peer = from;
-    record.touched = now;
-    out.push_back(send_to_host{bytes, value.entry});
-}
-
 void agent_relay::on_host_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
 {
     m_sent_again.clear();
@@ -419,12 +336,7 @@
         // A late copy: the host has accepted the flow before.
         return;
     }
-    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
-    const auto peers = route != nullptr ? usable_peers(*route, value.flow, now) : std::vector<peer_load>();
-    host_load closed = load();
-    closed.accepts = false;
-    const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers, hash_of(value.flow)) : nullptr;
-    if (!pass_on(value.flow, bytes, opening.entry, opening.hops, peer, "host_returned", now, out)) {
+    if (!pass_on_from_closed_host(opening, bytes, "host_returned", now, out)) {
         set_busy(value.flow, m_flows[value.flow], false, now);
         m_flows.erase(value.flow);
         out.push_back(reset_client{value.flow, 0});
@@ -432,26 +344,6 @@
     }
 }
 
-bool agent_relay::is_of_other_host(const flow_record& record, const packet& value) noexcept
-{
-    if (!value.ack || !record.host_sequence) {
-        return false;
-    }
-    const auto distance =
-        static_cast<std::int64_t>(static_cast<std::int32_t>(value.acknowledgement - *record.host_sequence));
-    return std::abs(distance) > max_acknowledgement_distance;
-}
-
-void agent_relay::lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
-                       core::time_point now, actions& out)
-{
-    set_busy(flow, record, false, now);
-    set_phase(record, flow_phase::lost, now);
-    record.touched = now;
-    out.push_back(reset_client{flow, sequence});
-    out.push_back(decision_record{decision::flow_lost, flow, {}, 0, load(), reason});
-}
-
 void agent_relay::on_message(ipv4 from, const message& value, core::time_point now)
 {
     if (const auto* load = std::get_if<host_load>(&value)) {
@@ -477,18 +369,6 @@
     }
 }
 
-void agent_relay::on_host_gone(core::time_point now, actions& out)
-{
-    for (auto& [flow, record] : m_flows) {
-        if (record.phase == flow_phase::held) {
-            set_busy(flow, record, false, now);
-            set_phase(record, flow_phase::lost, now);
-            record.touched = now;
-        }
-    }
-    out.push_back(decision_record{decision::flow_lost, {}, m_options.self, 0, load(), "host_process_gone"});
-}
-
 void agent_relay::on_tick(core::time_point now, actions& out)
 {
     m_sent_again.clear();
@@ -516,14 +396,9 @@
             out.push_back(decision_record{decision::host_suspected, opening.flow, m_options.self, 0, load(),
                                           "openings_unanswered"});
         }
-        const auto* route = m_view.find_route(opening.flow.service, opening.flow.service_port);
-        const auto peers = route != nullptr ? usable_peers(*route, opening.flow, now) : std::vector<peer_load>();
-        host_load closed = load();
-        closed.accepts = false;
-        const auto* peer = opening.hops < max_hops ? choose_less_busy(closed, peers, hash_of(opening.flow)) : nullptr;
         m_sent_again.push_back(opening.bytes);
         const wire::bytes_view bytes{m_sent_again.back().data(), opening_packet_size};
-        if (!pass_on(opening.flow, bytes, opening.entry, opening.hops, peer, "host_unanswered", now, out)) {
+        if (!pass_on_from_closed_host(opening, bytes, "host_unanswered", now, out)) {
             set_busy(opening.flow, it->second, false, now);
             m_flows.erase(it);
             out.push_back(
@@ -532,202 +407,4 @@
     }
 }
 
-void agent_relay::note_host_answer(core::time_point now, actions& out)
-{
-    m_opening_misses = 0;
-    if (m_suspected) {
-        m_suspected = false;
-        m_next_report = now;
-        out.push_back(decision_record{decision::host_answers, {}, m_options.self, 0, load(), ""});
-    }
-}
-
-void agent_relay::report(core::time_point now, actions& out)
-{
-    const auto current = load();
-    const bool is_changed = current.in_flight != m_reported.in_flight || current.open_flows != m_reported.open_flows ||
-                            current.accepts != m_reported.accepts;
-    if (now < m_next_report || (!is_changed && now < m_next_idle_report)) {
-        return;
-    }
-    m_next_report = now + report_interval;
-    m_next_idle_report = now + idle_report_interval;
-    m_reported = current;
-    const auto own = m_view.find_service(m_options.service);
-    if (!own) {
-        return;
-    }
-    for (const auto* it : m_view.hosts_of(*own)) {
-        if (it->value.address != m_options.self) {
-            out.push_back(send_message{it->value.address, current});
-        }
-    }
-}
-
-void agent_relay::sweep(core::time_point now)
-{
-    const auto idle = m_view.idle_timeout().count() > 0 ? m_view.idle_timeout() : default_idle_timeout;
-    for (auto it = m_flows.begin(); it != m_flows.end();) {
-        auto& record = it->second;
-        const auto age = now - record.touched;
-        if (record.busy && now - record.busy_since > default_busy_limit) {
-            set_busy(it->first, record, false, now);
-        }
-        if (record.phase == flow_phase::probing && now - record.phase_since > probing_time && !m_suspected) {
-            set_phase(record, flow_phase::held, now);
-        }
-        const bool is_closed = record.client_fin && record.host_fin && age > closed_flow_time;
-        const bool is_lost = record.phase == flow_phase::lost && age > lost_flow_time;
-        const bool is_stuck = record.phase == flow_phase::opening && age > closed_flow_time;
-        if (is_closed || is_lost || is_stuck || age > idle) {
-            set_busy(it->first, record, false, now);
-            set_phase(record, flow_phase::lost, now);
-            it = m_flows.erase(it);
-        } else {
-            ++it;
-        }
-    }
-}
-
-void agent_relay::confirm(const flow_key& flow, ipv4 entry, actions& out)
-{
-    if (entry != ipv4{}) {
-        out.push_back(send_message{entry, flow_found{flow, load()}});
-    }
-}
-
-void agent_relay::set_busy(const flow_key& flow, flow_record& record, bool busy, core::time_point now)
-{
-    if (record.busy != busy) {
-        record.busy = busy;
-        m_in_flight += busy ? 1 : -1;
-    }
-    if (busy) {
-        record.busy_since = now;
-        return;
-    }
-    record.in_service = false;
-    m_gate.on_end(flow);
-}
-
-void agent_relay::set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept
-{
-    const bool was_open = is_open(record);
-    record.phase = phase;
-    record.phase_since = now;
-    m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
-}
-
-void agent_relay::set_closing(flow_record& record, bool client_fin, bool host_fin) noexcept
-{
-    const bool was_open = is_open(record);
-    record.client_fin = client_fin;
-    record.host_fin = host_fin;
-    m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
-}
-
-bool agent_relay::is_open(const flow_record& record) noexcept
-{
-    return record.phase == flow_phase::held && !record.client_fin && !record.host_fin;
-}
-
-host_load agent_relay::load() const noexcept { return {m_in_flight, m_open_flows, slots(), accepts()}; }
-
-std::uint32_t agent_relay::slots() const noexcept
-{
-    const auto* own = m_view.find_host(m_options.self);
-    return own != nullptr ? own->value.slots : 1;
-}
-
-bool agent_relay::accepts() const noexcept
-{
-    const auto* own = m_view.find_host(m_options.self);
-    return !m_draining && !m_suspected && own != nullptr && own->is_usable() && !is_avoided();
-}
-
-bool agent_relay::is_avoided() const noexcept
-{
-    if (!m_health.is_failing()) {
-        return false;
-    }
-    const auto own = m_view.find_service(m_options.service);
-    if (!own) {
-        return false;
-    }
-    std::size_t avoided = 0;
-    const auto& hosts = m_view.hosts_of(*own);
-    for (const auto* it : hosts) {
-        const auto found = m_reports.find(static_cast<std::uint32_t>(it->value.address));
-        avoided += found != m_reports.end() && !found->second.load.accepts ? 1 : 0;
-    }
-    return may_avoid(avoided, hosts.size());
-}
-
-void agent_relay::note_outcome(bool answered, const flow_key& flow, core::time_point now, actions& out)
-{
-    const bool was_failing = m_health.is_failing();
-    m_health.on_outcome(answered, now);
-    if (m_health.is_failing() != was_failing) {
-        out.push_back(decision_record{was_failing ? decision::host_answers : decision::host_suspected, flow,
-                                      m_options.self, 0, load(), was_failing ? "recovered" : "requests_fail"});
-    }
-}
-
-bool agent_relay::may_hold_unknown(core::time_point now) const noexcept
-{
-    return m_options.may_hold_earlier_flows && now - m_options.started_at < m_options.flow_ttl;
-}
-
-std::vector<peer_load> agent_relay::usable_peers(const known_route& route, const flow_key& flow,
-                                                 core::time_point now) const
-{
-    std::vector<peer_load> result;
-    const auto add = [&](service_index service) {
-        for (const auto* it : m_view.hosts_of(service)) {
-            const auto address = it->value.address;
-            if (!it->is_usable() || address == m_options.self) {
-                continue;
-            }
-            peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0};
-            // A peer that never reported may have just started, or serve another service of the route.
-            if (const auto found = m_reports.find(static_cast<std::uint32_t>(address)); found != m_reports.end()) {
-                entry.load = found->second.load;
-                entry.passed = found->second.passed;
-                entry.load.accepts = entry.load.accepts && now - found->second.at < peer_report_timeout;
-            }
-            result.push_back(entry);
-        }
-    };
-    // The weights of the route hold as long as its chosen service has a host.
-    const auto chosen = fleet_view::choose_service(route, hash_of(flow));
-    add(chosen);
-    if (result.empty()) {
-        for (const auto& choice : route.services) {
-            if (choice.weight > 0 && choice.service != chosen) {
-                add(choice.service);
-            }
-        }
-    }
-    return result;
-}
-
-std::vector<ipv4> agent_relay::possible_holders(const known_route& route) const
-{
-    std::vector<ipv4> result;
-    const auto add = [&](service_index service) {
-        for (const auto* it : m_view.hosts_of(service)) {
-            if (it->value.address != m_options.self) {
-                result.push_back(it->value.address);
-            }
-        }
-    };
-    for (const auto& choice : route.services) {
-        add(choice.service);
-    }
-    std::for_each(route.former.begin(), route.former.end(), add);
-    std::sort(result.begin(), result.end());
-    result.erase(std::unique(result.begin(), result.end()), result.end());
-    return result;
-}
-
 } // namespace daisydoor::relay
--- /dev/null
+++ b/src/relay/agent_search.cpp
@@ -0,0 +1,148 @@
+#include "daisydoor/relay/agent_relay.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace daisydoor::relay
+{
+
+namespace
+{
+
+/// A client acknowledges what its host sent within this distance, about three times its window; the sequences of two
+/// hosts are random and rarely this close.
+constexpr std::uint32_t max_acknowledgement_distance = 1U << 18U;
+
+} // namespace
+
+void agent_relay::on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
+    auto& record = m_flows[value.flow];
+    record.entry = value.entry;
+    record.touched = now;
+    if (may_hold_unknown(now)) {
+        set_phase(record, flow_phase::probing, now);
+        out.push_back(send_to_host{bytes, value.entry});
+        return;
+    }
+    search(record, value, bytes, now, out);
+}
+
+void agent_relay::search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
+                         actions& out)
+{
+    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
+    record.asked = route != nullptr ? possible_holders(*route) : std::vector<ipv4>();
+    set_phase(record, flow_phase::searching, now);
+    out.push_back(decision_record{decision::search_started, value.flow, {}, 0, {}, ""});
+    record.searched = record.asked;
+    record.reset_sequence = value.acknowledgement;
+    if (record.asked.empty()) {
+        await_confirmation(record, value.flow, now);
+        return;
+    }
+    for (const auto peer : record.asked) {
+        out.push_back(send_to_agent{peer, bytes, value.entry, 1, packet_path::search});
+    }
+}
+
+void agent_relay::await_confirmation(flow_record& record, const flow_key& flow, core::time_point now)
+{
+    set_phase(record, flow_phase::unconfirmed, now);
+    m_unconfirmed.push_back(flow);
+}
+
+void agent_relay::on_view_confirmed(core::time_point since, core::time_point now, actions& out)
+{
+    std::vector<flow_key> later;
+    for (const auto& flow : std::exchange(m_unconfirmed, {})) {
+        const auto it = m_flows.find(flow);
+        if (it == m_flows.end() || it->second.phase != flow_phase::unconfirmed) {
+            continue;
+        }
+        auto& record = it->second;
+        if (record.phase_since > since) {
+            later.push_back(flow);
+            continue;
+        }
+        const auto* route = m_view.find_route(flow.service, flow.service_port);
+        if (route != nullptr && possible_holders(*route) != record.searched) {
+            // The client's next packet starts another search, which asks the hosts that were missing.
+            m_flows.erase(it);
+            continue;
+        }
+        lose(record, flow, record.reset_sequence, "held_nowhere", now, out);
+    }
+    m_unconfirmed = std::move(later);
+}
+
+void agent_relay::on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
+{
+    const auto it = m_flows.find(value.flow);
+    if (it != m_flows.end() && (it->second.phase == flow_phase::held || it->second.phase == flow_phase::opening) &&
+        !is_of_other_host(it->second, value)) {
+        it->second.entry = value.entry;
+        deliver(it->second, value, bytes, now, out);
+        confirm(value.flow, value.entry, out);
+        confirm(value.flow, from, out);
+        return;
+    }
+    const bool may_try = may_hold_unknown(now) && (it == m_flows.end() || it->second.phase == flow_phase::probing);
+    if (!may_try) {
+        out.push_back(send_message{from, flow_unknown{value.flow}});
+        return;
+    }
+    auto& record = m_flows[value.flow];
+    set_phase(record, flow_phase::probing, now);
+    record.entry = value.entry;
+    record.peer = from;
+    record.touched = now;
+    out.push_back(send_to_host{bytes, value.entry});
+}
+
+bool agent_relay::is_of_other_host(const flow_record& record, const packet& value) noexcept
+{
+    if (!value.ack || !record.host_sequence) {
+        return false;
+    }
+    const auto distance =
+        static_cast<std::int64_t>(static_cast<std::int32_t>(value.acknowledgement - *record.host_sequence));
+    return std::abs(distance) > max_acknowledgement_distance;
+}
+
+void agent_relay::lose(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
+                       core::time_point now, actions& out)
+{
+    set_busy(flow, record, false, now);
+    set_phase(record, flow_phase::lost, now);
+    record.touched = now;
+    out.push_back(reset_client{flow, sequence});
+    out.push_back(decision_record{decision::flow_lost, flow, {}, 0, load(), reason});
+}
+
+bool agent_relay::may_hold_unknown(core::time_point now) const noexcept
+{
+    return m_options.may_hold_earlier_flows && now - m_options.started_at < m_options.flow_ttl;
+}
+
+std::vector<ipv4> agent_relay::possible_holders(const known_route& route) const
+{
+    std::vector<ipv4> result;
+    const auto add = [&](service_index service) {
+        for (const auto* it : m_view.hosts_of(service)) {
+            if (it->value.address != m_options.self) {
+                result.push_back(it->value.address);
+            }
+        }
+    };
+    for (const auto& choice : route.services) {
+        add(choice.service);
+    }
+    std::for_each(route.former.begin(), route.former.end(), add);
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
+} // namespace daisydoor::relay
--- a/src/relay/entry_relay.cpp
+++ b/src/relay/entry_relay.cpp
@@ -12,8 +12,6 @@
 
 /// Flows are swept this often; a flow that is kept a little too long costs only its memory.
 constexpr core::milliseconds sweep_interval{1000};
-/// Used until the configuration names an idle timeout.
-constexpr core::milliseconds default_idle_timeout{15'000};
 
 } // namespace
 
@@ -176,7 +174,7 @@
 
 void entry_relay::forget_idle(core::time_point now)
 {
-    const auto limit = m_view.idle_timeout().count() > 0 ? m_view.idle_timeout() : default_idle_timeout;
+    const auto limit = m_view.idle_timeout();
     for (auto it = m_flows.begin(); it != m_flows.end();) {
         it = now - it->second.touched > limit ? m_flows.erase(it) : std::next(it);
     }
