--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -122,6 +122,8 @@
         core::time_point opened_at;
         core::time_point touched;
         core::time_point busy_since;
+        /// When the request was given to the host.
+        core::time_point served_since;
         core::time_point phase_since;
         /// Peers that have not answered the search yet.
         std::vector<ipv4> asked;
@@ -163,6 +165,8 @@
     bool may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                      actions& out);
     void release_requests(core::time_point now, actions& out);
+    void note_service_time(core::milliseconds time) noexcept;
+    [[nodiscard]] core::milliseconds service_time() const noexcept;
     [[nodiscard]] std::uint32_t slots() const noexcept;
     void set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept;
     void set_closing(flow_record& record, bool client_fin, bool host_fin) noexcept;
@@ -196,6 +200,8 @@
     std::vector<flow_key> m_unconfirmed;
     std::unordered_map<std::uint32_t, reported_load> m_reports;
     std::uint32_t m_in_flight = 0;
+    /// Mean time from the delivery of a request to its answer; starts at an ordinary request's work.
+    double m_service_ms = 50;
     std::uint32_t m_open_flows = 0;
     std::uint32_t m_opening_misses = 0;
     bool m_suspected = false;
--- a/include/daisydoor/relay/placement.hpp
+++ b/include/daisydoor/relay/placement.hpp
@@ -36,11 +36,31 @@
     bool in_own_zone = false;
     /// Flows passed to the peer since its report.
     std::uint32_t passed = 0;
+    /// Whether the peer has told its load; one that has not may be down.
+    bool has_reported = false;
 };
 
 /// @brief How much a host delays a new request; about 1 when all its slots are busy and it holds few flows.
 double pressure_of(const host_load& load, std::uint32_t passed) noexcept;
 
+/// Requests for each slot from which new flows wait for the client's next copy while peers are missing: about 100 ms of
+/// work, half of the time until that copy.
+constexpr std::uint32_t defer_requests_per_slot = 3;
+
+/// @brief Whether a new flow should wait for the client's next copy of its opening packet.
+///
+/// Load pattern: after an outage agents come back one after the other. The first would get the flows of all, and long
+/// flows keep them for minutes. The last copy is never left out.
+/// @param copies number of copies that the client sent before
+bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies) noexcept;
+
+/// @brief Whether a new request would wait in the queue for longer than its client waits.
+///
+/// Load pattern: an overload that lasts. Refused at once, the client may try another host while it still has time.
+/// @param service mean time of the host for one request
+/// @param timeout time after which the client has left; 0 if unknown
+bool cannot_be_served(const host_load& own, core::milliseconds service, core::milliseconds timeout) noexcept;
+
 /// @brief Decides whether an agent passes a new flow on.
 ///
 /// Load pattern: bursts, and long flows that pin work to one host, leave hosts of one service unequally busy while the
--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -22,6 +22,8 @@
 /// Pause after a failed call; doubles up to the maximum.
 constexpr core::milliseconds retry_pause{100};
 constexpr core::milliseconds max_retry_pause{800};
+/// Maximum for a process that holds nothing and can serve nobody.
+constexpr core::milliseconds max_start_pause{300};
 /// Maximum for processes that only check; they are many.
 constexpr core::milliseconds max_check_pause{3200};
 
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -15,6 +15,9 @@
 /// A host returns a packet of a foreign flow at once; after this time it holds the flow.
 constexpr core::milliseconds probing_time{200};
 
+/// Weight of one request in the mean service time; about the last twenty count.
+constexpr double service_weight = 0.05;
+
 } // namespace
 
 void agent_relay::note_host_answer(core::time_point now, actions& out)
@@ -95,6 +98,16 @@
     m_gate.on_end(flow);
 }
 
+void agent_relay::note_service_time(core::milliseconds time) noexcept
+{
+    m_service_ms += service_weight * (static_cast<double>(time.count()) - m_service_ms);
+}
+
+core::milliseconds agent_relay::service_time() const noexcept
+{
+    return core::milliseconds(static_cast<std::int64_t>(m_service_ms));
+}
+
 void agent_relay::set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept
 {
     const bool was_open = is_open(record);
@@ -168,12 +181,13 @@
             if (!it->is_usable() || address == m_options.self) {
                 continue;
             }
-            peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0};
+            peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0, false};
             // A peer that never reported may have just started, or serve another service of the route.
             if (const auto found = m_reports.find(static_cast<std::uint32_t>(address)); found != m_reports.end()) {
                 entry.load = found->second.load;
                 entry.passed = found->second.passed;
-                entry.load.accepts = entry.load.accepts && now - found->second.at < peer_report_timeout;
+                entry.has_reported = now - found->second.at < peer_report_timeout;
+                entry.load.accepts = entry.load.accepts && entry.has_reported;
             }
             result.push_back(entry);
         }
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -118,6 +118,15 @@
         out.push_back(send_to_host{bytes, value.entry});
         return;
     }
+    if (should_defer(load, peers, value.acknowledgement)) {
+        out.push_back(decision_record{decision::unanswered, value.flow, {}, value.hops, load, "peers_missing"});
+        return;
+    }
+    if (is_allowed && cannot_be_served(load, service_time(), route->value.timeout)) {
+        out.push_back(reset_client{value.flow, 0});
+        out.push_back(decision_record{decision::refused, value.flow, {}, value.hops, load, "queue_exceeds_timeout"});
+        return;
+    }
     const bool is_last_resort = is_allowed && (m_suspected || m_health.is_failing()) && !m_draining;
     if (load.accepts || is_last_resort) {
         give_to_host(value, bytes, now, out);
@@ -200,7 +209,7 @@
                           actions& out)
 {
     record.touched = now;
-    set_closing(record, record.client_fin || value.fin, record.host_fin);
+    set_closing(record, record.client_fin || value.fin || value.rst, record.host_fin);
     if (may_deliver(record, value, bytes, now, out)) {
         out.push_back(send_to_host{bytes, value.entry});
     }
@@ -235,6 +244,7 @@
         urgency.priority = route->value.priority;
     }
     record.in_service = m_gate.on_request(value.flow, urgency, value.sequence, bytes, slots(), now);
+    record.served_since = now;
     if (!record.in_service) {
         out.push_back(decision_record{decision::request_waits, value.flow, {}, 0, load(), "slots_busy"});
     }
@@ -250,6 +260,7 @@
             continue;
         }
         it->second.in_service = true;
+        it->second.served_since = now;
         for (auto& bytes : request.packets) {
             out.push_back(send_to_host{{}, it->second.entry, std::move(bytes)});
         }
@@ -287,9 +298,12 @@
         record.host_sequence = end;
     }
     if (value.payload_size > 0 || value.fin || value.rst) {
-        if (record.in_service) {
+        if (record.in_service && (value.payload_size > 0 || !record.client_fin)) {
             note_outcome(value.payload_size > 0, value.flow, now, out);
         }
+        if (record.in_service && value.payload_size > 0) {
+            note_service_time(std::chrono::duration_cast<core::milliseconds>(now - record.served_since));
+        }
         set_busy(value.flow, record, false, now);
     }
     set_closing(record, record.client_fin || value.rst, record.host_fin || value.fin || value.rst);
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -1,6 +1,7 @@
 #include "daisydoor/relay/placement.hpp"
 
 #include "daisydoor/core/rendezvous.hpp"
+#include "daisydoor/relay/work_gate.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -19,6 +20,8 @@
 constexpr double margin_across_zones = 0.5;
 /// A host that takes no flows spreads them over the peers within this pressure of the least busy one.
 constexpr double spread_when_closed = 0.3;
+/// Clients send an opening packet and two copies.
+constexpr std::uint32_t last_copy = 2;
 /// Slope of the pressure above one request a slot, where it continues the square below.
 constexpr double queue_slope = 2;
 
@@ -99,6 +102,20 @@
     return wait + flow_pressure * load.open_flows / slots;
 }
 
+bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies) noexcept
+{
+    const bool is_busy = own.in_flight >= own.slots * defer_requests_per_slot;
+    return is_busy && copies < last_copy &&
+           std::any_of(peers.begin(), peers.end(), [](const peer_load& it) { return !it.has_reported; });
+}
+
+bool cannot_be_served(const host_load& own, core::milliseconds service, core::milliseconds timeout) noexcept
+{
+    // The service time includes the wait inside the host, which has the slots and the surplus of the gate.
+    const auto wait = service * own.in_flight / (own.slots + gate_surplus);
+    return timeout.count() > 0 && wait >= timeout;
+}
+
 const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers,
                                   std::uint64_t flow_hash) noexcept
 {
@@ -118,7 +135,8 @@
     }
     for (const auto& it : peers) {
         const double headroom = limit - cost(it);
-        if (!it.load.accepts || headroom <= 0) {
+        const bool may_be_down = own.accepts && !it.has_reported;
+        if (!it.load.accepts || may_be_down || headroom <= 0) {
             continue;
         }
         const auto member = static_cast<std::uint64_t>(it.agent);
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -237,6 +237,7 @@
         on_packet(make_syn(make_flow(static_cast<std::uint16_t>(40000 + i))));
     }
     on_message(agent_address(2), host_load{0, 0, 5, true});
+    on_message(agent_address(3), host_load{5, 0, 5, true});
     auto value = make_syn(make_flow(40100));
     on_packet(value);
     ASSERT_EQ(take<send_to_agent>().size(), 1U);
@@ -343,6 +344,68 @@
     EXPECT_TRUE(m_agent->load().accepts);
 }
 
+// Guards against hosts that are avoided because their clients gave up: after an outage 662 suspicions sent a third of
+// all flows away from hosts that worked (trouble-1 of tuul-dues-grown).
+TEST_F(agent_relay_test, request_that_its_client_ends_is_no_failure)
+{
+    for (std::uint16_t i = 0; i < 8; ++i) {
+        const auto flow = make_flow(static_cast<std::uint16_t>(40000 + i));
+        open(flow);
+        auto value = make_packet(flow);
+        value.payload_size = 10;
+        on_packet(value);
+        value.payload_size = 0;
+        value.sequence += 10;
+        value.fin = true;
+        on_packet(value);
+        on_host_packet(value);
+    }
+    EXPECT_TRUE(m_agent->load().accepts);
+}
+
+// Guards against one host that gets all flows because its agent is the first to be back after an outage: 173 requests
+// for 2 slots (trouble-1 of tuul-dues-grown). The client's next copy finds more agents.
+TEST_F(agent_relay_test, open_at_busy_host_waits_for_next_copy_while_peers_are_missing)
+{
+    for (std::uint16_t i = 0; i < 5 * defer_requests_per_slot; ++i) {
+        on_packet(make_syn(make_flow(static_cast<std::uint16_t>(40000 + i))));
+        ASSERT_EQ(take<send_to_host>().size(), 1U) << i;
+    }
+    on_packet(make_syn(make_flow(50000)));
+    EXPECT_TRUE(take<send_to_host>().empty());
+    EXPECT_TRUE(take<reset_client>().empty());
+    on_packet(make_syn(make_flow(50000), 2));
+    EXPECT_EQ(take<send_to_host>().size(), 1U) << "the last copy is never left out";
+}
+
+// Guards against flows passed to a peer that may not be back: it is known from the view only.
+TEST_F(agent_relay_test, open_is_not_passed_to_peer_that_never_reported)
+{
+    for (std::uint16_t i = 0; i < 10; ++i) {
+        on_packet(make_syn(make_flow(static_cast<std::uint16_t>(40000 + i))));
+        EXPECT_TRUE(take<send_to_agent>().empty());
+    }
+}
+
+// Guards against clients that wait for their deadline in a queue that is too long to serve them: they are told at once.
+TEST_F(agent_relay_test, open_that_cannot_be_served_before_its_timeout_is_refused)
+{
+    auto value = make_route({{"svc", 1}});
+    value.timeout = core::milliseconds(1000);
+    set_routes(m_view, {value});
+    for (std::uint32_t n = 2; n <= 3; ++n) {
+        on_message(agent_address(n), host_load{900, 900, 5, true});
+    }
+    std::size_t kept = 0;
+    for (std::uint16_t i = 0; i < 400; ++i) {
+        on_packet(make_syn(make_flow(static_cast<std::uint16_t>(40000 + i))));
+        kept += take<send_to_host>().size();
+    }
+    EXPECT_LT(kept, 200U) << "5 slots serve about 100 requests of 50 ms in a second";
+    EXPECT_GT(kept, 50U);
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
 // Guards against queues at one host while its peers are free: a burst that reaches one agent.
 TEST_F(agent_relay_test, burst_at_one_agent_is_shared_with_peers)
 {
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -173,16 +173,16 @@
 TEST_F(placement_test, choose_less_busy_keeps_flow_among_equals)
 {
     const host_load own{3, 40, 5, true};
-    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {2, 42, 5, true}, true, 0}}, 1), nullptr);
-    EXPECT_NE(choose_less_busy(own, {{agent_address(2), {0, 40, 5, true}, true, 0}}, 1), nullptr);
-    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {0, 40, 5, true}, false, 0}}, 1), nullptr);
+    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {2, 42, 5, true}, true, 0, true}}, 1), nullptr);
+    EXPECT_NE(choose_less_busy(own, {{agent_address(2), {0, 40, 5, true}, true, 0, true}}, 1), nullptr);
+    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {0, 40, 5, true}, false, 0, true}}, 1), nullptr);
 }
 
 // Guards against all flows of a burst going to the peer that was free at the last report.
 TEST_F(placement_test, choose_less_busy_counts_flows_passed_since_report)
 {
     const host_load own{5, 0, 5, true};
-    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {0, 0, 5, true}, true, 5}}, 1), nullptr);
+    EXPECT_EQ(choose_less_busy(own, {{agent_address(2), {0, 0, 5, true}, true, 5, true}}, 1), nullptr);
 }
 
 // Guards against a new host that all agents find at the same moment: it got 27 requests for 2 slots at once (scale-2 of
@@ -190,9 +190,9 @@
 TEST_F(placement_test, choose_less_busy_spreads_over_all_less_busy_peers)
 {
     const host_load own{3, 10, 2, true};
-    std::vector<peer_load> peers{{agent_address(1), {0, 0, 2, true}, true, 0}};
+    std::vector<peer_load> peers{{agent_address(1), {0, 0, 2, true}, true, 0, true}};
     for (std::uint32_t n = 2; n <= 12; ++n) {
-        peers.push_back({agent_address(n), {1, 10, 2, true}, true, 0});
+        peers.push_back({agent_address(n), {1, 10, 2, true}, true, 0, true});
     }
     int at_empty = 0;
     for (std::uint16_t agent = 0; agent < 50; ++agent) {
