--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -177,7 +177,8 @@
     void sweep(core::time_point now);
     [[nodiscard]] bool may_hold_unknown(core::time_point now) const noexcept;
     [[nodiscard]] bool accepts() const noexcept;
-    void note_outcome(bool answered, const flow_key& flow, core::time_point now, actions& out);
+    void note_outcome(bool answered, std::string_view failure, const flow_key& flow, core::time_point now,
+                      actions& out);
     /// @brief Whether the host is failing and few enough peers are avoided to avoid it too.
     [[nodiscard]] bool is_avoided() const noexcept;
     std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, core::time_point now) const;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 shift || true
-mapfile -t sources < <(find include src apps tests bench -name '*.hpp' -o -name '*.cpp' | grep -v /generated/ | sort)
+mapfile -t sources < <(find include src apps platform tests bench -name '*.hpp' -o -name '*.cpp' | grep -v /generated/ | sort)
 clang-format --dry-run --Werror "${sources[@]}"
 scripts/generate_wire.sh --check
 if [ $# -gt 0 ]; then
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -161,13 +161,14 @@
     return may_avoid(avoided, hosts.size());
 }
 
-void agent_relay::note_outcome(bool answered, const flow_key& flow, core::time_point now, actions& out)
+void agent_relay::note_outcome(bool answered, std::string_view failure, const flow_key& flow, core::time_point now,
+                               actions& out)
 {
     const bool was_failing = m_health.is_failing();
     m_health.on_outcome(answered, now);
     if (m_health.is_failing() != was_failing) {
         out.push_back(decision_record{was_failing ? decision::host_answers : decision::host_suspected, flow,
-                                      m_options.self, 0, load(), was_failing ? "recovered" : "requests_fail"});
+                                      m_options.self, 0, load(), was_failing ? "recovered" : failure});
     }
 }
 
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -221,17 +221,20 @@
 bool agent_relay::may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                               actions& out)
 {
+    const std::uint32_t end = value.sequence + value.payload_size;
+    const bool is_first = record.client_sequence == 0;
+    const bool is_new = value.payload_size > 0 && (is_first || is_after(end, record.client_sequence));
+    if (is_new) {
+        record.client_sequence = end;
+    }
     if (m_gate.is_waiting(value.flow)) {
         // An acknowledgement alone may overtake the request.
         const bool is_part = value.payload_size > 0 || value.fin;
         return !is_part || m_gate.on_more(value.flow, value.sequence, bytes);
     }
-    const std::uint32_t end = value.sequence + value.payload_size;
-    const bool is_first = record.client_sequence == 0;
-    if (value.payload_size == 0 || (!is_first && !is_after(end, record.client_sequence))) {
+    if (!is_new) {
         return true;
     }
-    record.client_sequence = end;
     set_busy(value.flow, record, true, now);
     if (record.in_service) {
         return true;
@@ -293,13 +296,16 @@
         }
         out.push_back(decision_record{decision::opened, value.flow, {}, 0, load(), value.syn ? "accepted" : "known"});
     }
+    // Packets may overtake each other: an end after a gap follows an answer that is still on its way.
+    const bool has_answer = value.payload_size > 0 ||
+                            (value.fin && record.host_sequence && is_after(value.sequence, *record.host_sequence));
     const std::uint32_t end = value.sequence + value.payload_size + (value.syn ? 1 : 0);
     if (!value.rst && (!record.host_sequence || is_after(end, *record.host_sequence))) {
         record.host_sequence = end;
     }
     if (value.payload_size > 0 || value.fin || value.rst) {
-        if (record.in_service && (value.payload_size > 0 || !record.client_fin)) {
-            note_outcome(value.payload_size > 0, value.flow, now, out);
+        if (record.in_service && (has_answer || !record.client_fin)) {
+            note_outcome(has_answer, value.rst ? "host_resets" : "host_closes", value.flow, now, out);
         }
         if (record.in_service && value.payload_size > 0) {
             note_service_time(std::chrono::duration_cast<core::milliseconds>(now - record.served_since));
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -406,6 +406,56 @@
     EXPECT_EQ(take<reset_client>().size(), 1U);
 }
 
+// Guards against a copy of a packet that waited being taken for another request: it held a place at the gate without
+// work, and its host counted as failing when it closed the flow (1,476 suspicions on trouble-1 of tuul-dues-grown).
+TEST_F(agent_relay_test, copy_of_packet_that_waited_is_no_new_request)
+{
+    std::vector<flow_key> flows;
+    for (std::uint16_t i = 0; i < 7; ++i) {
+        flows.push_back(make_flow(static_cast<std::uint16_t>(40000 + i)));
+        open(flows.back());
+        auto value = make_packet(flows.back());
+        value.payload_size = 10;
+        on_packet(value);
+    }
+    auto second = make_packet(flows.back());
+    second.sequence += 10;
+    second.payload_size = 10;
+    on_packet(second);
+    ASSERT_TRUE(take<send_to_host>().empty()) << "the request waits with both its packets";
+    auto answer = make_packet(flows.front());
+    answer.payload_size = 100;
+    on_host_packet(answer);
+    ASSERT_EQ(take<send_to_host>().size(), 2U);
+    answer.flow = flows.back();
+    on_host_packet(answer);
+    const auto before = m_agent->load().in_flight;
+    on_packet(second);
+    EXPECT_EQ(m_agent->load().in_flight, before);
+}
+
+// Guards against hosts that are avoided although they work: their last packet overtakes the answer before it, and looks
+// like an end without an answer (31 suspicions in 6 s of a calm day of tuul-dues).
+TEST_F(agent_relay_test, end_that_overtakes_answer_is_no_failure)
+{
+    for (std::uint16_t i = 0; i < 8; ++i) {
+        const auto flow = make_flow(static_cast<std::uint16_t>(40000 + i));
+        open(flow);
+        auto value = make_packet(flow);
+        value.payload_size = 10;
+        on_packet(value);
+        auto last = make_packet(flow);
+        last.sequence = 5001 + 776;
+        last.fin = true;
+        on_host_packet(last);
+        auto answer = make_packet(flow);
+        answer.sequence = 5001;
+        answer.payload_size = 776;
+        on_host_packet(answer);
+    }
+    EXPECT_TRUE(m_agent->load().accepts);
+}
+
 // Guards against queues at one host while its peers are free: a burst that reaches one agent.
 TEST_F(agent_relay_test, burst_at_one_agent_is_shared_with_peers)
 {
