Mend lint findings of the relay

Cause: clang-tidy on the new files: containers that grow without a reserve, members without a first value, an implicit conversion. Ruled out: none of them changes behaviour.

--- a/include/daisydoor/runtime/detail/packet_socket.hpp
+++ b/include/daisydoor/runtime/detail/packet_socket.hpp
@@ -69,9 +69,9 @@
 
     struct send_slot
     {
-        sockaddr_in destination;
-        std::array<std::uint8_t, platform::packet_header_size> header;
-        std::array<iovec, 2> parts;
+        sockaddr_in destination{};
+        std::array<std::uint8_t, platform::packet_header_size> header{};
+        std::array<iovec, 2> parts{};
         wire::buffer owned;
     };
 
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -60,10 +60,12 @@
                                                     const std::vector<route>& dropped)
 {
     std::vector<flatbuffers::Offset<wire::fleet_route>> routes;
+    routes.reserve(changed.size());
     for (const auto& it : changed) {
         routes.push_back(pack(builder, it));
     }
     std::vector<flatbuffers::Offset<wire::fleet_route_key>> keys;
+    keys.reserve(dropped.size());
     for (const auto& it : dropped) {
         keys.push_back(wire::Createfleet_route_key(builder, static_cast<std::uint32_t>(it.address), it.port));
     }
--- a/tests/process/unit-process-relay.cpp
+++ b/tests/process/unit-process-relay.cpp
@@ -170,7 +170,8 @@
     finish();
 }
 
-// Guards against broken promises under faults in series and overlapping; a short seeded run of the soak; scripts/soak.sh plays more.
+// Guards against broken promises under faults in series and overlapping; a short seeded run of the soak;
+// scripts/soak.sh plays more.
 TEST_F(relay_process_test, soak_of_regression_seeds_breaks_nothing)
 {
     const auto result = standins::relay::run_soak(m_options, core::milliseconds(6000));
--- a/tests/standins/relay/proxy.cpp
+++ b/tests/standins/relay/proxy.cpp
@@ -88,7 +88,7 @@
 void proxy::on_read(bufferevent* from, void* argument)
 {
     auto* const value = static_cast<pair*>(argument);
-    std::array<char, 16 * 1024> buf{};
+    std::array<char, std::size_t{16} * 1024> buf{};
     std::string bytes;
     for (std::size_t n = bufferevent_read(from, buf.data(), buf.size()); n > 0;
          n = bufferevent_read(from, buf.data(), buf.size())) {
