Prove that a forwarded packet allocates nothing

Ruled out: nothing to mend, both tests pass as written; they fail when a packet's path allocates, which the counting operator new of the tests sees.

--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -1,6 +1,7 @@
 #include "daisydoor/relay/agent_relay.hpp"
 
 #include "relay_fixture.hpp"
+#include "support/allocation_counter.hpp"
 
 namespace daisydoor::relay
 {
@@ -126,6 +127,18 @@
     EXPECT_EQ(resets[0].sequence, value.acknowledgement);
 }
 
+// Guards against a cost for each packet that grows with the allocator's, in both directions.
+TEST_F(agent_relay_test, packets_of_held_flow_allocate_nothing)
+{
+    open(make_flow());
+    on_packet(make_packet(make_flow()));
+    on_host_packet(make_packet(make_flow()));
+    const auto before = test::allocation_count();
+    on_packet(make_packet(make_flow()));
+    on_host_packet(make_packet(make_flow()));
+    EXPECT_EQ(test::allocation_count(), before);
+}
+
 // Guards against lost flows when their agent has started again while the host went on.
 TEST_F(agent_relay_test, unknown_packet_after_restart_is_tried_at_host)
 {
--- a/tests/unit/unit-relay-entry.cpp
+++ b/tests/unit/unit-relay-entry.cpp
@@ -2,6 +2,7 @@
 #include "daisydoor/relay/entry_relay.hpp"
 
 #include "relay_fixture.hpp"
+#include "support/allocation_counter.hpp"
 
 namespace daisydoor::relay
 {
@@ -151,6 +152,16 @@
     EXPECT_EQ(take<send_to_agent>().at(0).agent, first);
 }
 
+// Guards against a cost for each packet that grows with the allocator's: an entry has a twentieth of a core.
+TEST_F(entry_relay_test, packet_of_known_flow_allocates_nothing)
+{
+    confirm(place(make_flow()), make_flow());
+    on_packet(make_packet(make_flow()));
+    const auto before = test::allocation_count();
+    on_packet(make_packet(make_flow()));
+    EXPECT_EQ(test::allocation_count(), before);
+}
+
 // Guards against decisions before anything is known.
 TEST_F(entry_relay_test, packet_before_configuration_is_dropped)
 {
