Remove relay members that nothing reads

Cause: reading the change once more: entry_relay::has_pending, store_reader::confirmed_at with its member, agent_relay_options::availability_zone and a parameter of view_sync::subscribe are written or offered, but never read.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -40,7 +40,6 @@
     /// Address of this process and its host.
     ipv4 self{};
     std::string service;
-    std::string availability_zone;
     core::time_point started_at;
     /// Whether flows may be older than this process: not if the whole system started with it.
     bool may_hold_earlier_flows = true;
--- a/include/daisydoor/relay/entry_relay.hpp
+++ b/include/daisydoor/relay/entry_relay.hpp
@@ -41,7 +41,6 @@
     void on_tick(core::time_point now, actions& out);
 
     [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
-    [[nodiscard]] bool has_pending() const noexcept { return !m_pending.empty(); }
 
   private:
     struct flow_record
--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -112,8 +112,6 @@
     /// @brief When next() may return a call; only meaningful if none is in flight.
     [[nodiscard]] core::time_point due_at() const noexcept { return m_due_at; }
     [[nodiscard]] bool is_lost() const noexcept { return m_lost; }
-    /// @brief End of the last call that was answered.
-    [[nodiscard]] core::time_point confirmed_at() const noexcept { return m_confirmed_at; }
 
   private:
     void on_failure(core::time_point now, store_progress& progress);
@@ -129,7 +127,6 @@
     bool m_lost = false;
     core::milliseconds m_pause = retry_pause;
     core::time_point m_due_at;
-    core::time_point m_confirmed_at;
 };
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -92,7 +92,7 @@
 
     void choose_readers();
     void choose_sources(core::time_point now);
-    void subscribe(core::time_point now, actions& out);
+    void subscribe(actions& out) const;
     void tell(ipv4 to, subscriber& entry, core::time_point now, actions& out);
     [[nodiscard]] std::vector<ipv4> candidates() const;
 
--- a/src/relay/store_reader.cpp
+++ b/src/relay/store_reader.cpp
@@ -60,7 +60,6 @@
     progress.regained = std::exchange(m_lost, false);
     m_pause = retry_pause;
     m_due_at = now;
-    m_confirmed_at = now;
     if (result == store_result::history_lost) {
         m_next = store_call::read_routes;
         return progress;
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -203,10 +203,10 @@
         }
     }
     choose_sources(now);
-    subscribe(now, out);
+    subscribe(out);
 }
 
-void view_sync::subscribe(core::time_point /*now*/, actions& out)
+void view_sync::subscribe(actions& out) const
 {
     for (const auto it : m_sources) {
         out.push_back(send_message{it, fleet_subscribe{m_view.revision()}});
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -88,7 +88,6 @@
     relay::agent_relay_options result;
     result.self = self;
     result.service = values.agent->service;
-    result.availability_zone = values.zone;
     result.started_at = core::clock::now();
     result.may_hold_earlier_flows = !values.first_start;
     result.flow_ttl = values.flow_ttl;
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -26,7 +26,6 @@
         agent_relay_options options;
         options.self = agent_address(1);
         options.service = "svc";
-        options.availability_zone = "a";
         options.started_at = m_now;
         options.may_hold_earlier_flows = may_hold_earlier_flows;
         m_agent = std::make_unique<agent_relay>(options, m_view);
