Log and count requests that the gate drops

Cause: work_gate dropped requests whose clients had left without a log line or a metric, and the agent went on counting them as load for up to 5 s, so that peers placed flows by work that no host had.

The agent writes the decision request_dropped with the time waited and frees the load. A test of the agent fails before: no record, load unchanged.

Ruled out: a reset to the client; its flow is open, and the host that holds it lives.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -121,11 +121,12 @@
     agent_suspected,
     request_waits,
     request_released,
+    request_dropped,
 };
-constexpr std::array<std::string_view, 14> decision_names{
-    "placed",       "placed_again",    "redirected",    "refused",         "opened",
-    "unanswered",   "search_started",  "flow_lost",     "route_unknown",   "host_suspected",
-    "host_answers", "agent_suspected", "request_waits", "request_released"};
+constexpr std::array<std::string_view, 15> decision_names{
+    "placed",       "placed_again",    "redirected",    "refused",          "opened",
+    "unanswered",   "search_started",  "flow_lost",     "route_unknown",    "host_suspected",
+    "host_answers", "agent_suspected", "request_waits", "request_released", "request_dropped"};
 
 /// @brief Log record of one decision with the inputs that decided it.
 struct decision_record
--- a/include/daisydoor/relay/work_gate.hpp
+++ b/include/daisydoor/relay/work_gate.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace daisydoor::relay
@@ -53,6 +54,13 @@
         core::milliseconds waited{0};
     };
 
+    /// @brief A request that was dropped because its client had left.
+    struct dropped
+    {
+        flow_key flow;
+        core::milliseconds waited{0};
+    };
+
     /// @brief The first packet of a request.
     /// @return whether it may be delivered at once; otherwise it waits inside
     bool on_request(const flow_key& flow, const request_urgency& urgency, std::uint32_t sequence,
@@ -71,8 +79,8 @@
     [[nodiscard]] bool is_waiting(const flow_key& flow) const { return m_waiting.count(flow) != 0; }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
     [[nodiscard]] std::size_t in_service() const noexcept { return m_in_service.size(); }
-    /// @brief Requests dropped because their clients had left.
-    [[nodiscard]] std::uint64_t expired() const noexcept { return m_expired; }
+    /// @brief Requests that the calls of release dropped since the last call of this function.
+    std::vector<dropped> take_dropped() { return std::exchange(m_dropped, {}); }
 
   private:
     struct waiting_request
@@ -99,7 +107,7 @@
     waiting_map m_waiting;
     std::deque<service> m_in_service;
     std::uint64_t m_next_number = 0;
-    std::uint64_t m_expired = 0;
+    std::vector<dropped> m_dropped;
 };
 
 } // namespace daisydoor::relay
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -270,6 +270,13 @@
         out.push_back(
             decision_record{decision::request_released, request.flow, {}, 0, load(), "slot_free", request.waited});
     }
+    for (const auto& request : m_gate.take_dropped()) {
+        if (const auto it = m_flows.find(request.flow); it != m_flows.end()) {
+            set_busy(request.flow, it->second, false, now);
+        }
+        out.push_back(
+            decision_record{decision::request_dropped, request.flow, {}, 0, load(), "client_left", request.waited});
+    }
 }
 
 void agent_relay::on_host_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
--- a/src/relay/work_gate.cpp
+++ b/src/relay/work_gate.cpp
@@ -105,9 +105,12 @@
 void work_gate::drop_expired(core::time_point now)
 {
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        const bool expired = has_left(it->second.urgency, now);
-        it = expired ? m_waiting.erase(it) : std::next(it);
-        m_expired += expired ? 1 : 0;
+        if (!has_left(it->second.urgency, now)) {
+            ++it;
+            continue;
+        }
+        m_dropped.push_back({it->first, std::chrono::duration_cast<core::milliseconds>(now - it->second.arrived)});
+        it = m_waiting.erase(it);
     }
 }
 
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -407,6 +407,35 @@
     EXPECT_EQ(take<reset_client>().size(), 1U);
 }
 
+// Guards against a request that vanishes without a log line, and against load that no host works on: peers placed flows
+// by it for up to 5 s.
+TEST_F(agent_relay_test, request_dropped_after_timeout_is_logged_and_no_load)
+{
+    auto value = make_route({{"svc", 1}});
+    value.timeout = core::milliseconds(700);
+    set_routes(m_view, {value});
+    std::vector<flow_key> flows;
+    for (std::uint16_t i = 0; i < 7; ++i) {
+        flows.push_back(make_flow(static_cast<std::uint16_t>(40000 + i)));
+        open(flows.back());
+        auto request = make_packet(flows.back());
+        request.payload_size = 10;
+        on_packet(request);
+    }
+    const auto before = m_agent->load().in_flight;
+    tick(core::milliseconds(700));
+    std::vector<decision_record> dropped;
+    for (const auto& it : take<decision_record>()) {
+        if (it.decision == decision::request_dropped) {
+            dropped.push_back(it);
+        }
+    }
+    ASSERT_EQ(dropped.size(), 1U);
+    EXPECT_EQ(dropped[0].flow, flows.back());
+    EXPECT_EQ(dropped[0].waited, core::milliseconds(700));
+    EXPECT_EQ(m_agent->load().in_flight, before - 1);
+}
+
 // Guards against a copy of a packet that waited being taken for another request: it held a place at the gate without
 // work, and its host counted as failing when it closed the flow (1,476 suspicions on one day of the users' bench).
 TEST_F(agent_relay_test, copy_of_packet_that_waited_is_no_new_request)
--- a/tests/unit/unit-relay-gate.cpp
+++ b/tests/unit/unit-relay-gate.cpp
@@ -82,7 +82,11 @@
     advance(core::milliseconds(3000));
     m_gate.on_end(make_flow(1));
     EXPECT_TRUE(release().empty());
-    EXPECT_EQ(m_gate.expired(), 1U);
+    const auto dropped = m_gate.take_dropped();
+    ASSERT_EQ(dropped.size(), 1U);
+    EXPECT_EQ(dropped[0].flow, make_flow(4));
+    EXPECT_EQ(dropped[0].waited, core::milliseconds(3000));
+    EXPECT_TRUE(m_gate.take_dropped().empty());
 }
 
 // Guards against a host that stays closed because answers were lost or its clients left without a word.
