Have a reader confirm the view for agents that lost flows

Cause: after a loss of power each agent that searched for lost flows called the platform by itself, up to 2.5 times a second: 970 calls in 10 s by 80 agents.

An agent now names a question in its subscription to a reader. The reader makes one call for all questions that have arrived, at most one in 200 ms, and answers those that arrived before the call began. A reader that stays silent for 500 ms is replaced by the agent's own call.

Ruled out: the age that news carry; it counts from the answer of a call, so that a host that registered while the call was under way could be missing.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -40,6 +40,8 @@
 struct fleet_subscribe
 {
     relay::revision revision{};
+    /// Number of the sender's question whether the platform confirms the view; 0 if it has none.
+    std::uint32_t question = 0;
 };
 
 /// @brief Answers a subscription, at once and on every change.
@@ -54,6 +56,8 @@
     /// Whether the changes are too large for a datagram and must be fetched.
     bool fetch = false;
     fleet_update update;
+    /// The receiver's question that a call of the platform, begun after the question arrived, has answered; 0 if none.
+    std::uint32_t answered = 0;
 };
 
 using message = std::variant<host_load, flow_found, flow_unknown, fleet_subscribe, fleet_news>;
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace daisydoor::relay
@@ -23,6 +24,9 @@
 /// State that the platform has not confirmed for this long is refreshed by a read of the own. A change must be in force
 /// after ConfigApplyMs (at least 3 s); the rest is for the read.
 constexpr core::milliseconds confirmation_limit{1900};
+/// A question that no reader has answered for this long makes the process call the platform itself: a reader's call and
+/// its pause between calls, with room for a busy processor.
+constexpr core::milliseconds question_timeout{500};
 /// Sources of a process: one may be cut off from the platform while it still answers.
 constexpr std::size_t source_count = 2;
 /// Hosts of one availability zone for which one agent reads the platform.
@@ -74,6 +78,20 @@
 
     void on_tick(core::time_point now, actions& out);
 
+    /// @brief Sees to a confirmation that the view lacks nothing: asks a reader, which answers many processes with one
+    /// call of the platform.
+    /// @return whether this process must call the platform itself, as a reader or because no reader answers
+    [[nodiscard]] bool request_confirmation(core::time_point now, actions& out);
+
+    /// @brief When this process asked the question that a reader has answered, once; the view is complete up to then.
+    std::optional<core::time_point> take_confirmed_since() { return std::exchange(m_confirmed_since, std::nullopt); }
+
+    /// @brief Whether subscribers of this reader wait for a call of the platform.
+    [[nodiscard]] bool is_asked() const noexcept;
+
+    /// @brief The view is complete up to `asked_at`, when a call of the platform began: answers the questions before.
+    void on_platform_answer(core::time_point asked_at, core::time_point now, actions& out);
+
     [[nodiscard]] core::milliseconds age(core::time_point now) const;
     [[nodiscard]] const std::vector<ipv4>& sources() const noexcept { return m_sources; }
     [[nodiscard]] std::size_t subscriber_count() const noexcept { return m_subscribers.size(); }
@@ -85,6 +103,9 @@
         core::time_point heard;
         /// Was told to fetch the whole view; names its revision when it has done so.
         bool fetches = false;
+        std::uint32_t question = 0;
+        /// When the question arrived, if it is not answered yet.
+        std::optional<core::time_point> asked_at;
     };
 
     struct source_state
@@ -97,7 +118,8 @@
     void choose_readers();
     void choose_sources(core::time_point now);
     void subscribe(actions& out) const;
-    void tell(ipv4 to, subscriber& entry, core::time_point now, actions& out);
+    void tell(ipv4 to, subscriber& entry, std::uint32_t answered, core::time_point now, actions& out);
+    void note_answer(const fleet_news& value);
     /// @return nothing if the update must be fetched
     [[nodiscard]] std::vector<fleet_update> split(const fleet_update& value) const;
     [[nodiscard]] std::vector<ipv4> candidates() const;
@@ -108,6 +130,9 @@
     fleet_view& m_view;
     std::function<std::size_t(const fleet_update&)> m_encoded_size;
     std::optional<core::time_point> m_confirmed_at;
+    /// When the own question was asked, if it is not answered yet.
+    std::optional<core::time_point> m_question_at;
+    std::optional<core::time_point> m_confirmed_since;
     bool m_is_reader = false;
     bool m_fetching = false;
     std::vector<ipv4> m_readers;
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -221,12 +221,14 @@
         body = wire::Createflow_unknown(builder, &flow).Union();
     } else if (const auto* subscribe = std::get_if<fleet_subscribe>(&value)) {
         type = wire::relay_body::fleet_subscribe;
-        body = wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision)).Union();
+        body =
+            wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision), subscribe->question)
+                .Union();
     } else if (const auto* news = std::get_if<fleet_news>(&value)) {
         type = wire::relay_body::fleet_news;
         const auto update = pack(builder, news->update);
         body = wire::Createfleet_news(builder, to_wire(news->age), to_wire(news->regained),
-                                      static_cast<std::uint64_t>(news->after), news->fetch, update)
+                                      static_cast<std::uint64_t>(news->after), news->fetch, update, news->answered)
                    .Union();
     }
     builder.Finish(wire::Createrelay_message(builder, type, body));
@@ -253,11 +255,15 @@
         return flow_unknown{from_wire(*unknown->flow())};
     }
     if (const auto* subscribe = root->body_as_fleet_subscribe()) {
-        return fleet_subscribe{revision{subscribe->revision()}};
+        return fleet_subscribe{revision{subscribe->revision()}, subscribe->question()};
     }
     if (const auto* news = root->body_as_fleet_news()) {
-        return fleet_news{core::milliseconds(news->age_ms()), core::milliseconds(news->regained_ms()),
-                          revision{news->after()}, news->fetch(), from_wire(*news->update())};
+        return fleet_news{core::milliseconds(news->age_ms()),
+                          core::milliseconds(news->regained_ms()),
+                          revision{news->after()},
+                          news->fetch(),
+                          from_wire(*news->update()),
+                          news->answered()};
     }
     return std::nullopt;
 }
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -17,6 +17,13 @@
 constexpr std::uint64_t reader_key = 0x7265616465727331;
 constexpr core::milliseconds never{0xffffffff};
 
+/// Numbers a question by its time, so that a process that starts again does not repeat a number.
+std::uint32_t number_of(core::time_point asked_at) noexcept
+{
+    const auto number = static_cast<std::uint32_t>(asked_at.time_since_epoch() / core::milliseconds(1));
+    return std::max(number, 1U);
+}
+
 struct reader_candidate
 {
     double distance = 0;
@@ -61,12 +68,16 @@
     entry.revision = value.revision;
     entry.heard = now;
     entry.fetches = false;
+    if (m_is_reader && value.question != 0 && (value.question != entry.question || !entry.asked_at)) {
+        entry.question = value.question;
+        entry.asked_at = now;
+    }
     if (m_view.is_ready()) {
-        tell(from, entry, now, out);
+        tell(from, entry, 0, now, out);
     }
 }
 
-void view_sync::tell(ipv4 to, subscriber& entry, core::time_point now, actions& out)
+void view_sync::tell(ipv4 to, subscriber& entry, std::uint32_t answered, core::time_point now, actions& out)
 {
     fleet_news news;
     news.age = age(now);
@@ -85,6 +96,7 @@
     }
     if (parts.empty()) {
         news.update.revision = m_view.revision();
+        news.answered = news.fetch ? 0 : answered;
         out.push_back(send_message{to, std::move(news)});
         return;
     }
@@ -93,7 +105,9 @@
     for (std::size_t i = 0; i < parts.size(); ++i) {
         auto part = news;
         // Only with its last part is the state complete.
-        part.age = i + 1 < parts.size() ? never : news.age;
+        const bool is_last = i + 1 == parts.size();
+        part.age = is_last ? news.age : never;
+        part.answered = is_last ? answered : 0;
         part.after = i == 0 ? news.after : parts[i - 1].revision;
         part.update = parts[i];
         out.push_back(send_message{to, std::move(part)});
@@ -150,9 +164,49 @@
     if (value.update.revision <= m_view.revision() && value.age < never) {
         on_confirmed(now - value.age);
     }
+    note_answer(value);
     return result;
 }
 
+void view_sync::note_answer(const fleet_news& value)
+{
+    const bool is_complete = value.update.revision <= m_view.revision();
+    if (is_complete && m_question_at && value.answered == number_of(*m_question_at)) {
+        m_confirmed_since = std::exchange(m_question_at, std::nullopt);
+    }
+}
+
+bool view_sync::request_confirmation(core::time_point now, actions& out)
+{
+    if (m_is_reader || m_sources.empty()) {
+        return true;
+    }
+    if (!m_question_at) {
+        m_question_at = now;
+        out.push_back(send_message{m_sources.front(), fleet_subscribe{m_view.revision(), number_of(now)}});
+    }
+    return now - *m_question_at > question_timeout;
+}
+
+bool view_sync::is_asked() const noexcept
+{
+    return std::any_of(m_subscribers.begin(), m_subscribers.end(),
+                       [](const auto& it) { return it.second.asked_at.has_value(); });
+}
+
+void view_sync::on_platform_answer(core::time_point asked_at, core::time_point now, actions& out)
+{
+    if (m_question_at && *m_question_at <= asked_at) {
+        m_question_at.reset();
+    }
+    for (auto& [address, entry] : m_subscribers) {
+        if (entry.asked_at && *entry.asked_at <= asked_at) {
+            entry.asked_at.reset();
+            tell(ipv4{address}, entry, entry.question, now, out);
+        }
+    }
+}
+
 view_change view_sync::on_fetched(const fleet_update& value, core::time_point now)
 {
     m_fetching = false;
@@ -167,7 +221,7 @@
     choose_sources(now);
     for (auto& [address, entry] : m_subscribers) {
         if (entry.revision < m_view.revision() && !entry.fetches) {
-            tell(ipv4{address}, entry, now, out);
+            tell(ipv4{address}, entry, 0, now, out);
         }
     }
 }
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -25,8 +25,9 @@
 /// Decision lines a second that a process writes; a line costs a small entry about 10 us of its processor.
 constexpr double log_lines_per_second = 40;
 constexpr double log_burst = 200;
-/// Flows that are lost together share a call of the platform; their clients wait this much longer for the reset.
-constexpr core::milliseconds check_interval{400};
+/// Flows that are lost together share a call of the platform; their clients wait this much longer for the reset at
+/// most.
+constexpr core::milliseconds check_interval{200};
 /// Path at which a process serves its whole fleet view to others.
 constexpr const char* fleet_path = "/fleet";
 /// A view of a few hundred routes takes a few round trips.
@@ -190,8 +191,9 @@
         note_change(m_view.apply(*news.update, now), "platform", now);
         if (m_agent) {
             m_agent->on_view_confirmed(news.asked_at, now, m_actions);
-            m_next_check = now + check_interval;
         }
+        m_sync.on_platform_answer(news.asked_at, now, m_actions);
+        m_next_check = now + check_interval;
     }
     choose_read_mode(now);
     execute();
@@ -204,6 +206,9 @@
         m_sync.on_subscribe(from, *subscribe, now, m_actions);
     } else if (const auto* news = std::get_if<relay::fleet_news>(&message)) {
         note_change(m_sync.on_news(from, *news, now, m_actions), text_of(from), now);
+        if (const auto since = m_sync.take_confirmed_since(); since && m_agent) {
+            m_agent->on_view_confirmed(*since, now, m_actions);
+        }
     }
 }
 
@@ -257,7 +262,8 @@
 
 void relay_task::choose_read_mode(core::time_point now)
 {
-    const bool needs_check = m_agent && m_agent->needs_confirmation() && now >= m_next_check;
+    const bool must_confirm = m_agent && m_agent->needs_confirmation() && m_sync.request_confirmation(now, m_actions);
+    const bool needs_check = (must_confirm || m_sync.is_asked()) && now >= m_next_check;
     const auto mode = m_sync.is_reader() || !m_view.is_ready() ? relay::read_mode::watch
                       : m_sync.should_read(now) || needs_check ? relay::read_mode::check
                                                                : relay::read_mode::off;
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -45,7 +45,9 @@
     process& at(ipv4 address) { return *m_processes.at(address); }
 
     /// A read of the platform by one process.
-    void read(process& value)
+    void read(process& value) { read(value, m_now); }
+
+    void read(process& value, core::time_point asked_at)
     {
         actions out;
         const auto newer = m_platform.changes_after(value.view.revision());
@@ -54,6 +56,7 @@
         if (change.routes || change.hosts > 0) {
             value.sync->on_change(m_now, out);
         }
+        value.sync->on_platform_answer(asked_at, m_now, out);
         deliver(address_of(value), out);
     }
 
@@ -281,6 +284,56 @@
     EXPECT_NE(at(entry_address).view.find_route(service_address, 444), nullptr);
 }
 
+// Guards against a call of the platform by every agent that lost a flow: 80 agents made 970 calls in the 10 s after a
+// loss of power, and at the size of letter 1 they would exceed the platform's rate a hundredfold.
+TEST_F(view_sync_test, confirmation_is_asked_of_reader)
+{
+    run(core::milliseconds(2000));
+    auto& asker = at(entry_address);
+    auto& reader = at(asker.sync->sources()[0]);
+    const auto asked_at = m_now;
+    actions out;
+    EXPECT_FALSE(asker.sync->request_confirmation(m_now, out));
+    deliver(entry_address, out);
+    EXPECT_TRUE(reader.sync->is_asked());
+    advance(core::milliseconds(30));
+    read(reader);
+    EXPECT_FALSE(reader.sync->is_asked());
+    EXPECT_EQ(asker.sync->take_confirmed_since(), asked_at);
+    EXPECT_EQ(asker.sync->take_confirmed_since(), std::nullopt);
+}
+
+// Guards against a flow that is reset by an answer from before its host registered.
+TEST_F(view_sync_test, answer_to_earlier_call_confirms_nothing)
+{
+    run(core::milliseconds(2000));
+    auto& asker = at(entry_address);
+    auto& reader = at(asker.sync->sources()[0]);
+    const auto call_begins = m_now;
+    advance(core::milliseconds(5));
+    actions out;
+    EXPECT_FALSE(asker.sync->request_confirmation(m_now, out));
+    deliver(entry_address, out);
+    advance(core::milliseconds(5));
+    read(reader, call_begins);
+    EXPECT_TRUE(reader.sync->is_asked());
+    EXPECT_EQ(asker.sync->take_confirmed_since(), std::nullopt);
+}
+
+// Guards against flows that are never reset because the reader is down.
+TEST_F(view_sync_test, unanswered_question_makes_process_read)
+{
+    run(core::milliseconds(2000));
+    auto& asker = at(entry_address);
+    at(asker.sync->sources()[0]).is_cut = true;
+    actions out;
+    EXPECT_FALSE(asker.sync->request_confirmation(m_now, out));
+    advance(question_timeout + core::milliseconds(1));
+    EXPECT_TRUE(asker.sync->request_confirmation(m_now, out));
+    asker.sync->on_platform_answer(m_now, m_now, out);
+    EXPECT_FALSE(asker.sync->request_confirmation(m_now, out)) << "a later question starts again";
+}
+
 // Guards against a new process that serves nothing while the platform is away.
 TEST_F(view_sync_test, new_process_learns_from_seed_while_platform_is_away)
 {
