Repeat a search to the peers that have not answered

Cause: a search for a lost flow that one starting peer did not answer, or that missed a host which registered meanwhile, waited for the client's next retransmission, up to 1.6 s.

The agent keeps the packet while it searches, asks the silent peers again every 100 ms (16 times), asks hosts that the view gained, and leaves out those that it lost. Three tests fail first.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -30,8 +30,11 @@
 constexpr core::milliseconds idle_report_interval{1000};
 /// A peer without a report for this long gets no flows: two idle reports may be lost.
 constexpr core::milliseconds peer_report_timeout{2500};
-/// A search that no peer has answered is sent again with the next packet.
-constexpr core::milliseconds search_timeout{300};
+/// A peer that does not answer a search is asked again this often; a process that starts is ready within some 100 ms.
+constexpr core::milliseconds search_repeat_interval{100};
+/// Repetitions of a search, for as long as the longest pause between a client's retransmissions (1.6 s); after them its
+/// next packet starts over.
+constexpr std::uint32_t search_repeat_limit = 16;
 /// A flow that is known to be lost is remembered so that its next packets are answered at once.
 constexpr core::milliseconds lost_flow_time{5000};
 
@@ -128,6 +131,16 @@
         std::vector<ipv4> asked;
         /// Peers that were asked.
         std::vector<ipv4> searched;
+        /// Packet to search with, while the search lasts.
+        wire::buffer search_packet;
+        std::uint32_t search_repeats = 0;
+        core::time_point repeat_at;
+    };
+
+    struct search_repeat
+    {
+        flow_key flow;
+        core::time_point due;
     };
 
     struct opening_record
@@ -150,6 +163,10 @@
     void on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
     void on_unknown(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    /// @brief Asks the possible holders that have not answered yet.
+    /// @return false if there is none
+    bool ask_holders(flow_record& record, const flow_key& flow, core::time_point now, actions& out);
+    void repeat_searches(core::time_point now, actions& out);
     bool pass_on_from_closed_host(const opening_record& opening, wire::bytes_view bytes, std::string_view reason,
                                   core::time_point now, actions& out);
     void deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
@@ -196,6 +213,8 @@
     work_gate m_gate;
     host_health m_health;
     std::deque<opening_record> m_openings;
+    /// Searches to repeat, the next one first.
+    std::deque<search_repeat> m_search_repeats;
     /// Flows in phase unconfirmed.
     std::vector<flow_key> m_unconfirmed;
     std::unordered_map<std::uint32_t, reported_load> m_reports;
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -113,6 +113,9 @@
     const bool was_open = is_open(record);
     record.phase = phase;
     record.phase_since = now;
+    if (phase != flow_phase::searching && phase != flow_phase::unconfirmed) {
+        record.search_packet = {};
+    }
     m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
 }
 
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -78,7 +78,7 @@
         record.reset_sequence = value.acknowledgement;
         break;
     case flow_phase::searching:
-        if (now - record.phase_since >= search_timeout) {
+        if (record.search_repeats >= search_repeat_limit) {
             search(record, value, bytes, now, out);
         }
         break;
@@ -400,6 +400,7 @@
 {
     m_sent_again.clear();
     check_openings(now, out);
+    repeat_searches(now, out);
     release_requests(now, out);
     report(now, out);
     if (now >= m_next_sweep) {
--- a/src/relay/agent_search.cpp
+++ b/src/relay/agent_search.cpp
@@ -32,18 +32,58 @@
 void agent_relay::search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                          actions& out)
 {
-    const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
-    record.asked = route != nullptr ? possible_holders(*route) : std::vector<ipv4>();
     set_phase(record, flow_phase::searching, now);
     out.push_back(decision_record{decision::search_started, value.flow, {}, 0, {}, ""});
-    record.searched = record.asked;
+    record.entry = value.entry;
     record.reset_sequence = value.acknowledgement;
-    if (record.asked.empty()) {
+    record.search_packet.assign(bytes.data, bytes.data + bytes.size);
+    record.search_repeats = 0;
+    record.asked.clear();
+    record.searched.clear();
+    if (!ask_holders(record, value.flow, now, out)) {
         await_confirmation(record, value.flow, now);
-        return;
     }
-    for (const auto peer : record.asked) {
-        out.push_back(send_to_agent{peer, bytes, value.entry, 1, packet_path::search});
+}
+
+bool agent_relay::ask_holders(flow_record& record, const flow_key& flow, core::time_point now, actions& out)
+{
+    const auto* route = m_view.find_route(flow.service, flow.service_port);
+    const auto holders = route != nullptr ? possible_holders(*route) : std::vector<ipv4>();
+    auto& asked = record.asked;
+    const auto is_gone = [&holders](ipv4 it) { return !std::binary_search(holders.begin(), holders.end(), it); };
+    asked.erase(std::remove_if(asked.begin(), asked.end(), is_gone), asked.end());
+    for (const auto it : holders) {
+        if (std::find(record.searched.begin(), record.searched.end(), it) == record.searched.end()) {
+            record.searched.push_back(it);
+            asked.push_back(it);
+        }
+    }
+    if (asked.empty()) {
+        return false;
+    }
+    const wire::bytes_view bytes{record.search_packet.data(), record.search_packet.size()};
+    for (const auto peer : asked) {
+        out.push_back(send_to_agent{peer, bytes, record.entry, 1, packet_path::search});
+    }
+    record.repeat_at = now + search_repeat_interval;
+    m_search_repeats.push_back({flow, record.repeat_at});
+    return true;
+}
+
+void agent_relay::repeat_searches(core::time_point now, actions& out)
+{
+    while (!m_search_repeats.empty() && m_search_repeats.front().due <= now) {
+        const auto next = m_search_repeats.front();
+        m_search_repeats.pop_front();
+        const auto it = m_flows.find(next.flow);
+        const bool is_current =
+            it != m_flows.end() && it->second.phase == flow_phase::searching && it->second.repeat_at == next.due;
+        if (!is_current || ++it->second.search_repeats >= search_repeat_limit) {
+            continue;
+        }
+        if (!ask_holders(it->second, next.flow, now, out)) {
+            await_confirmation(it->second, next.flow, now);
+        }
     }
 }
 
@@ -66,13 +106,11 @@
             later.push_back(flow);
             continue;
         }
-        const auto* route = m_view.find_route(flow.service, flow.service_port);
-        if (route != nullptr && possible_holders(*route) != record.searched) {
-            // The client's next packet starts another search, which asks the hosts that were missing.
-            m_flows.erase(it);
-            continue;
+        // Hosts that the view lacked at the time of the search are asked now.
+        set_phase(record, flow_phase::searching, now);
+        if (!ask_holders(record, flow, now, out)) {
+            lose(record, flow, record.reset_sequence, "held_nowhere", now, out);
         }
-        lose(record, flow, record.reset_sequence, "held_nowhere", now, out);
     }
     m_unconfirmed = std::move(later);
 }
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -186,8 +186,54 @@
     add_host(m_view, make_host(4));
     confirm_view();
     EXPECT_TRUE(take<reset_client>().empty());
+    const auto sent = take<send_to_agent>();
+    ASSERT_EQ(sent.size(), 1U) << "the others have answered";
+    EXPECT_EQ(sent[0].agent, agent_address(4));
+    on_message(agent_address(4), flow_unknown{make_flow()});
+    confirm_view();
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
+// Guards against clients that wait for their own retransmission, up to 1.6 s, because one peer was still starting when
+// all others said that they do not hold the flow: after a loss of power, 700 requests missed their deadline.
+TEST_F(agent_relay_test, search_is_repeated_to_silent_peers)
+{
+    on_packet(make_packet(make_flow()));
+    on_message(agent_address(2), flow_unknown{make_flow()});
+    tick(search_repeat_interval);
+    const auto sent = take<send_to_agent>();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].agent, agent_address(3));
+    EXPECT_EQ(sent[0].path, packet_path::search);
+    EXPECT_EQ(sent[0].bytes.size, bytes().size);
+    on_message(agent_address(3), flow_unknown{make_flow()});
+    confirm_view();
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
+// Guards against a search that waits for a host which the platform has removed meanwhile.
+TEST_F(agent_relay_test, search_ends_without_peer_that_is_gone)
+{
+    on_packet(make_packet(make_flow()));
+    on_message(agent_address(2), flow_unknown{make_flow()});
+    remove_host(m_view, "i-3");
+    tick(search_repeat_interval);
+    EXPECT_TRUE(m_agent->needs_confirmation());
+    confirm_view();
+    EXPECT_EQ(take<reset_client>().size(), 1U);
+}
+
+// Guards against packets without end for a peer that is dead: the next packet of the client starts over.
+TEST_F(agent_relay_test, search_without_answer_waits_for_client)
+{
+    on_packet(make_packet(make_flow()));
+    for (std::uint32_t i = 0; i < search_repeat_limit; ++i) {
+        tick(search_repeat_interval);
+    }
+    tick(search_repeat_interval);
+    EXPECT_TRUE(take<send_to_agent>().empty());
     on_packet(make_packet(make_flow()));
-    EXPECT_EQ(take<send_to_agent>().size(), 3U);
+    EXPECT_EQ(take<send_to_agent>().size(), 2U);
 }
 
 // Guards against a reset on the word of a platform that was asked before the flow was searched.
