Report load only on a change that decides

Cause: each request that began or ended was reported to all peers of the service, at most ten times a second: 8.4 KB/s at 10 peers, of 3 KB/s that a process may use, although one request of many changes no placement.

A report is sent at once when the pressure changes by 0.1 or the host opens or closes for flows, else each second. The test replays 10 and 25 requests at a host of 50 slots and fails first.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -26,6 +26,9 @@
 constexpr std::uint8_t max_hops = 3;
 /// Reports on change; the margins of the placement allow for their age.
 constexpr core::milliseconds report_interval{100};
+/// Change of the pressure that is reported at once: well below the difference at which a flow is passed on (0.25), so
+/// that the requests of a host with many slots do not fill the control traffic.
+constexpr double report_threshold = 0.1;
 /// Reports without a change, so that peers know that the agent lives.
 constexpr core::milliseconds idle_report_interval{1000};
 /// A peer without a report for this long gets no flows: two idle reports may be lost.
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -1,6 +1,7 @@
 #include "daisydoor/relay/agent_relay.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisydoor::relay
 {
@@ -33,8 +34,8 @@
 void agent_relay::report(core::time_point now, actions& out)
 {
     const auto current = load();
-    const bool is_changed = current.in_flight != m_reported.in_flight || current.open_flows != m_reported.open_flows ||
-                            current.accepts != m_reported.accepts;
+    const double change = pressure_of(current, 0) - pressure_of(m_reported, 0);
+    const bool is_changed = std::abs(change) >= report_threshold || current.accepts != m_reported.accepts;
     if (now < m_next_report || (!is_changed && now < m_next_idle_report)) {
         return;
     }
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -532,6 +532,27 @@
     EXPECT_TRUE(m_agent->load().accepts);
 }
 
+// Guards against control traffic that grows with the requests of a large host: 10 reports a second to each of 10 peers
+// are 8.4 KB/s, of 3 KB/s that a process may use.
+TEST_F(agent_relay_test, report_waits_for_change_that_decides)
+{
+    auto own = make_host(1);
+    own.slots = 50;
+    add_host(m_view, own);
+    tick(report_interval);
+    ASSERT_EQ(take_messages<host_load>().size(), 2U);
+    for (std::uint16_t i = 0; i < 10; ++i) {
+        open(make_flow(static_cast<std::uint16_t>(40000 + i)));
+    }
+    tick(report_interval);
+    EXPECT_TRUE(take_messages<host_load>().empty()) << "10 of 50 slots are no reason to place elsewhere";
+    for (std::uint16_t i = 10; i < 25; ++i) {
+        open(make_flow(static_cast<std::uint16_t>(40000 + i)));
+    }
+    tick(report_interval);
+    EXPECT_EQ(take_messages<host_load>().size(), 2U);
+}
+
 // Guards against queues at one host while its peers are free: a burst that reaches one agent.
 TEST_F(agent_relay_test, burst_at_one_agent_is_shared_with_peers)
 {
