Exchange load with sixteen peers at most

An agent exchanges load with its neighbours on two rings, of its availability zone and of the whole service, four on each side. The flow of a closed host goes to any peer if no neighbour accepts. Services of nine hosts or fewer are as before.

Ruled out: reports to entries, which know no services' load today and would need it from every agent; random pairs, where a peer does not know who reports to it.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -200,7 +200,14 @@
                       actions& out);
     /// @brief Whether the host is failing and few enough peers are avoided to avoid it too.
     [[nodiscard]] bool is_avoided() const noexcept;
-    std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, core::time_point now) const;
+    /// @brief Peers that may take a flow: those that exchange load with this agent or, for the flow of a closed host,
+    /// any if none of these accepts.
+    std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, bool own_accepts,
+                                        core::time_point now) const;
+    /// @param all whether peers of the own service that do not exchange load with this agent are included
+    std::vector<peer_load> gather_peers(const known_route& route, const flow_key& flow, bool all,
+                                        core::time_point now) const;
+    void update_load_peers(core::time_point now);
     std::vector<ipv4> possible_holders(const known_route& route) const;
 
     struct reported_load
@@ -220,6 +227,9 @@
     std::deque<search_repeat> m_search_repeats;
     /// Flows in phase unconfirmed.
     std::vector<flow_key> m_unconfirmed;
+    /// Peers that exchange load with this agent, by address; chosen at m_load_peers_revision of the view.
+    std::vector<ipv4> m_load_peers;
+    revision m_load_peers_revision{};
     std::unordered_map<std::uint32_t, reported_load> m_reports;
     std::uint32_t m_in_flight = 0;
     /// Mean time from the delivery of a request to its answer; starts at an ordinary request's work.
--- a/include/daisydoor/relay/placement.hpp
+++ b/include/daisydoor/relay/placement.hpp
@@ -40,6 +40,18 @@
     bool has_reported = false;
 };
 
+/// Neighbours on each side of a ring with which an agent exchanges load: with two rings at most 16 peers, enough to
+/// find one with free slots in a service that has any to spare.
+constexpr std::size_t load_ring_reach = 4;
+
+/// @brief Peers with which an agent exchanges load: its neighbours on a ring of the hosts of its availability zone, and
+/// on a ring of all hosts of the service. Two agents always choose each other.
+///
+/// Load pattern: services with many hosts, where reports to all peers would grow with the square of the hosts.
+/// @param hosts hosts of the agent's service
+/// @return addresses in ascending order; all others if the own host is not listed
+std::vector<ipv4> load_peers(const std::vector<const known_host*>& hosts, ipv4 self);
+
 /// @brief How much a host delays a new request; about 1 when all its slots are busy and it holds few flows.
 double pressure_of(const host_load& load, std::uint32_t passed) noexcept;
 
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -33,6 +33,7 @@
 
 void agent_relay::report(core::time_point now, actions& out)
 {
+    update_load_peers(now);
     const auto current = load();
     const double change = pressure_of(current, 0) - pressure_of(m_reported, 0);
     const bool is_changed = std::abs(change) >= report_threshold || current.accepts != m_reported.accepts;
@@ -42,14 +43,24 @@
     m_next_report = now + report_interval;
     m_next_idle_report = now + idle_report_interval;
     m_reported = current;
+    for (const auto it : m_load_peers) {
+        out.push_back(send_message{it, current});
+    }
+}
+
+void agent_relay::update_load_peers(core::time_point now)
+{
     const auto own = m_view.find_service(m_options.service);
-    if (!own) {
+    if (!own || m_load_peers_revision == m_view.revision()) {
         return;
     }
-    for (const auto* it : m_view.hosts_of(*own)) {
-        if (it->value.address != m_options.self) {
-            out.push_back(send_message{it->value.address, current});
-        }
+    m_load_peers_revision = m_view.revision();
+    auto peers = load_peers(m_view.hosts_of(*own), m_options.self);
+    if (peers != m_load_peers) {
+        // New peers place no flows here before they know the load.
+        m_next_report = now;
+        m_next_idle_report = now;
+        m_load_peers = std::move(peers);
     }
 }
 
@@ -152,17 +163,12 @@
     if (!m_health.is_failing()) {
         return false;
     }
-    const auto own = m_view.find_service(m_options.service);
-    if (!own) {
-        return false;
-    }
-    std::size_t avoided = 0;
-    const auto& hosts = m_view.hosts_of(*own);
-    for (const auto* it : hosts) {
-        const auto found = m_reports.find(static_cast<std::uint32_t>(it->value.address));
-        avoided += found != m_reports.end() && !found->second.load.accepts ? 1 : 0;
-    }
-    return may_avoid(avoided, hosts.size());
+    const auto is_closed = [this](ipv4 peer) {
+        const auto found = m_reports.find(static_cast<std::uint32_t>(peer));
+        return found != m_reports.end() && !found->second.load.accepts;
+    };
+    const auto avoided = std::count_if(m_load_peers.begin(), m_load_peers.end(), is_closed);
+    return may_avoid(static_cast<std::size_t>(avoided), m_load_peers.size() + 1);
 }
 
 void agent_relay::note_outcome(bool answered, std::string_view failure, const flow_key& flow, core::time_point now,
@@ -176,14 +182,26 @@
     }
 }
 
-std::vector<peer_load> agent_relay::usable_peers(const known_route& route, const flow_key& flow,
+std::vector<peer_load> agent_relay::usable_peers(const known_route& route, const flow_key& flow, bool own_accepts,
+                                                 core::time_point now) const
+{
+    auto result = gather_peers(route, flow, false, now);
+    const bool has_choice =
+        own_accepts || std::any_of(result.begin(), result.end(), [](const peer_load& it) { return it.load.accepts; });
+    return has_choice ? result : gather_peers(route, flow, true, now);
+}
+
+std::vector<peer_load> agent_relay::gather_peers(const known_route& route, const flow_key& flow, bool all,
                                                  core::time_point now) const
 {
+    const auto own = m_view.find_service(m_options.service);
     std::vector<peer_load> result;
     const auto add = [&](service_index service) {
         for (const auto* it : m_view.hosts_of(service)) {
             const auto address = it->value.address;
-            if (!it->is_usable() || address == m_options.self) {
+            const bool is_near =
+                all || service != own || std::binary_search(m_load_peers.begin(), m_load_peers.end(), address);
+            if (!it->is_usable() || address == m_options.self || !is_near) {
                 continue;
             }
             peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0, false};
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -96,10 +96,11 @@
         // The entry may know a newer version; it tries another agent if this one does not confirm.
         return;
     }
-    const auto peers = usable_peers(*route, value.flow, now);
+    update_load_peers(now);
     const bool is_allowed = own && route->allows(*own);
     auto load = this->load();
     load.accepts = load.accepts && is_allowed;
+    const auto peers = usable_peers(*route, value.flow, load.accepts, now);
     if (is_allowed && is_avoided() && !m_draining && !m_suspected && m_health.take_probe(now)) {
         give_to_host(value, bytes, now, out);
         return;
@@ -200,7 +201,7 @@
     }
     host_load closed = load();
     closed.accepts = false;
-    const auto peers = usable_peers(*route, opening.flow, now);
+    const auto peers = usable_peers(*route, opening.flow, false, now);
     const auto* peer = choose_less_busy(closed, peers, hash_of(opening.flow));
     return pass_on(opening.flow, bytes, opening.entry, opening.hops, peer, reason, now, out);
 }
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace daisydoor::relay
 {
@@ -37,8 +38,50 @@
     }
 };
 
+/// Key of the hash that orders the hosts of a ring, alike at all agents.
+constexpr std::uint64_t ring_key = 0x6c6f61645f72696e;
+
+/// Adds the neighbours of `self` on the ring of some addresses, or all addresses if it is not one of them.
+void add_ring_neighbours(std::vector<ipv4> ring, ipv4 self, std::vector<ipv4>& result)
+{
+    const auto position = [](ipv4 it) {
+        return std::make_pair(core::rendezvous_distance(ring_key, static_cast<std::uint64_t>(it)), it);
+    };
+    std::sort(ring.begin(), ring.end(), [&position](ipv4 a, ipv4 b) { return position(a) < position(b); });
+    // Several incarnations of a host have one agent.
+    ring.erase(std::unique(ring.begin(), ring.end()), ring.end());
+    const auto own = std::find(ring.begin(), ring.end(), self);
+    const auto n = ring.size();
+    const auto own_index = static_cast<std::size_t>(own - ring.begin());
+    for (std::size_t i = 0; i < n; ++i) {
+        const auto forward = (i + n - own_index) % n;
+        const bool is_near = own == ring.end() || std::min(forward, n - forward) <= load_ring_reach;
+        if (is_near && ring[i] != self) {
+            result.push_back(ring[i]);
+        }
+    }
+}
+
 } // namespace
 
+std::vector<ipv4> load_peers(const std::vector<const known_host*>& hosts, ipv4 self)
+{
+    std::vector<ipv4> all;
+    std::vector<ipv4> in_zone;
+    for (const auto* it : hosts) {
+        all.push_back(it->value.address);
+        if (it->in_own_zone) {
+            in_zone.push_back(it->value.address);
+        }
+    }
+    std::vector<ipv4> result;
+    add_ring_neighbours(std::move(all), self, result);
+    add_ring_neighbours(std::move(in_zone), self, result);
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
 const known_host* choose_host(const fleet_view& view, const known_route& route, std::uint64_t flow_hash,
                               const std::function<bool(ipv4)>& is_excluded, const std::function<bool(ipv4)>& is_avoided)
 {
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -532,6 +532,24 @@
     EXPECT_TRUE(m_agent->load().accepts);
 }
 
+// Guards against a refusal while a host beyond the peers that exchange load is free.
+TEST_F(agent_relay_test, closed_host_without_open_peer_passes_to_any)
+{
+    for (std::uint32_t n = 4; n <= 60; ++n) {
+        add_host(m_view, make_host(n));
+    }
+    tick(report_interval);
+    const auto peers = take_messages<host_load>();
+    ASSERT_LE(peers.size(), 4 * load_ring_reach);
+    for (const auto& [peer, load] : peers) {
+        on_message(peer, host_load{0, 0, 5, false});
+    }
+    m_agent->start_drain();
+    on_packet(make_syn(make_flow()));
+    EXPECT_TRUE(take<reset_client>().empty());
+    EXPECT_EQ(take<send_to_agent>().size(), 1U);
+}
+
 // Guards against control traffic that grows with the requests of a large host: 10 reports a second to each of 10 peers
 // are 8.4 KB/s, of 3 KB/s that a process may use.
 TEST_F(agent_relay_test, report_waits_for_change_that_decides)
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -4,6 +4,9 @@
 
 #include "relay_fixture.hpp"
 
+#include <algorithm>
+#include <map>
+
 namespace daisydoor::relay
 {
 namespace
@@ -169,6 +172,47 @@
     EXPECT_NE(choose_holder(m_view, *route, 1, never), nullptr);
 }
 
+// Guards against load reports that grow with the square of a service's hosts, and against an agent that waits for
+// reports of a peer which does not send it any.
+TEST_F(placement_test, load_peers_are_few_and_mutual)
+{
+    constexpr std::uint32_t hosts = 60;
+    std::map<ipv4, std::vector<ipv4>> peers;
+    for (const auto* zone : {"a", "b", "c"}) {
+        fleet_view view(zone);
+        for (std::uint32_t n = 1; n <= hosts; ++n) {
+            add_host(view, make_host(n, "svc", n % 3 == 0 ? "a" : n % 3 == 1 ? "b" : "c"));
+        }
+        auto again = make_host(hosts + 1, "svc", "b");
+        again.address = agent_address(1);
+        add_host(view, again);
+        for (const auto& [id, entry] : view.hosts()) {
+            if (entry.in_own_zone) {
+                peers[entry.value.address] = load_peers(view.hosts_of(*view.find_service("svc")), entry.value.address);
+            }
+        }
+    }
+    for (const auto& [agent, of_agent] : peers) {
+        EXPECT_LE(of_agent.size(), 4 * load_ring_reach);
+        EXPECT_GE(of_agent.size(), 2 * load_ring_reach);
+        for (const auto peer : of_agent) {
+            const auto& of_peer = peers.at(peer);
+            EXPECT_TRUE(std::binary_search(of_peer.begin(), of_peer.end(), agent));
+        }
+    }
+}
+
+// Guards against hosts of a small service that do not know each other's load.
+TEST_F(placement_test, load_peers_of_small_service_are_all)
+{
+    for (std::uint32_t n = 1; n <= 2 * load_ring_reach + 1; ++n) {
+        add_host(m_view, make_host(n));
+    }
+    const auto& hosts = m_view.hosts_of(*m_view.find_service("svc"));
+    EXPECT_EQ(load_peers(hosts, agent_address(1)).size(), 2 * load_ring_reach);
+    EXPECT_EQ(load_peers(hosts, agent_address(99)).size(), hosts.size());
+}
+
 // Guards against equal hosts that trade flows, with reports 100 ms old.
 TEST_F(placement_test, choose_less_busy_keeps_flow_among_equals)
 {
