Leave a process time to stop reading after its first read

Cause: the watch after a whole read was called before the process knew from that read that others read for it; each start cancelled one such call.

One test fails first; the fixture now waits the pause after a whole read.

--- a/src/relay/store_reader.cpp
+++ b/src/relay/store_reader.cpp
@@ -79,6 +79,8 @@
             m_whole.whole = true;
             m_revision = m_whole.revision;
             m_next = store_call::watch;
+            // Most processes learn from others what comes next, and know it only with this answer.
+            m_due_at = now + watch_pause;
             progress.update = std::exchange(m_whole, {});
         }
         break;
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -272,6 +272,7 @@
         answer(store_call::read_routes, 10);
         answer(store_call::read_hosts, 12, true);
         answer(store_call::read_hosts, 14);
+        advance(watch_pause);
     }
 
     store_reader m_reader;
@@ -291,6 +292,17 @@
     EXPECT_EQ(request->revision, revision{10});
 }
 
+// Guards against a watch by every process that starts, cancelled as soon as it knows that others read.
+TEST_F(store_reader_test, whole_read_leaves_time_to_stop_reading)
+{
+    answer(store_call::read_routes, 10);
+    answer(store_call::read_hosts, 10);
+    EXPECT_FALSE(m_reader.next(m_now));
+    m_reader.set_mode(read_mode::off, revision{10}, m_now);
+    advance(watch_pause);
+    EXPECT_FALSE(m_reader.next(m_now));
+}
+
 // Guards against a process that stops to read when the platform has dropped its history.
 TEST_F(store_reader_test, lost_history_reads_everything_again)
 {
