--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -1,6 +1,4 @@
-#include "daisydoor/relay/agent_relay.hpp"
-
-#include "relay_fixture.hpp"
+#include "agent_relay_fixture.hpp"
 #include "support/allocation_counter.hpp"
 
 namespace daisydoor::relay
@@ -8,85 +6,6 @@
 namespace
 {
 
-/// Agent 1 of three; the system started with it unless a test says otherwise.
-class agent_relay_test : public relay_fixture
-{
-  protected:
-    agent_relay_test()
-    {
-        set_routes(m_view, {make_route({{"svc", 1}})});
-        for (std::uint32_t n = 1; n <= 3; ++n) {
-            add_host(m_view, make_host(n));
-        }
-        restart(false);
-    }
-
-    void restart(bool may_hold_earlier_flows)
-    {
-        agent_relay_options options;
-        options.self = agent_address(1);
-        options.service = "svc";
-        options.started_at = m_now;
-        options.may_hold_earlier_flows = may_hold_earlier_flows;
-        m_agent = std::make_unique<agent_relay>(options, m_view);
-    }
-
-    void on_packet(const packet& value, ipv4 from = entry_address)
-    {
-        m_actions.clear();
-        m_agent->on_packet(value, bytes(), from, m_now, m_actions);
-    }
-
-    void on_host_packet(const packet& value)
-    {
-        m_actions.clear();
-        m_agent->on_host_packet(value, bytes(), m_now, m_actions);
-    }
-
-    void on_message(ipv4 from, const message& value)
-    {
-        m_actions.clear();
-        m_agent->on_message(from, value, m_now);
-    }
-
-    void tick(core::milliseconds time)
-    {
-        advance(time);
-        m_actions.clear();
-        m_agent->on_tick(m_now, m_actions);
-    }
-
-    /// The platform confirms the view by a call that starts now.
-    void confirm_view()
-    {
-        m_actions.clear();
-        m_agent->on_view_confirmed(m_now, m_now, m_actions);
-    }
-
-    /// Opens a flow at the own host.
-    void open(const flow_key& flow)
-    {
-        on_packet(make_syn(flow));
-        on_host_packet(make_syn_ack(flow));
-    }
-
-    /// Opens a flow and sends a request that the host answers or ends with a reset.
-    void run_request(std::uint16_t port, bool answers)
-    {
-        open(make_flow(port));
-        auto value = make_packet(make_flow(port));
-        value.payload_size = 10;
-        on_packet(value);
-        auto last = make_packet(make_flow(port));
-        last.rst = !answers;
-        last.payload_size = answers ? 100 : 0;
-        on_host_packet(last);
-    }
-
-    fleet_view m_view{"a"};
-    std::unique_ptr<agent_relay> m_agent;
-};
-
 // Guards against flows that never open.
 TEST_F(agent_relay_test, open_accepted_by_host_confirms_to_entry)
 {
@@ -100,32 +19,6 @@
     EXPECT_EQ(m_agent->load().open_flows, 1U);
 }
 
-// Guards against a reset of a flow that another host holds: the client acknowledged the other host's answer to a copy
-// of its opening packet.
-TEST_F(agent_relay_test, returned_packet_of_flow_opened_elsewhere_starts_search)
-{
-    open(make_flow());
-    auto value = make_packet(make_flow());
-    value.acknowledgement = 0x70000000;
-    on_packet(value);
-    on_host_packet(returned(value));
-    EXPECT_TRUE(take<reset_client>().empty());
-    on_packet(value);
-    EXPECT_TRUE(take<reset_client>().empty());
-}
-
-// Guards against clients that wait in vain for a host that has started again and lost its flows.
-TEST_F(agent_relay_test, returned_packet_of_held_flow_resets_client)
-{
-    open(make_flow());
-    const auto value = make_packet(make_flow());
-    on_packet(value);
-    on_host_packet(returned(value));
-    const auto resets = take<reset_client>();
-    ASSERT_EQ(resets.size(), 1U);
-    EXPECT_EQ(resets[0].sequence, value.acknowledgement);
-}
-
 // Guards against a cost for each packet that grows with the allocator's, in both directions.
 TEST_F(agent_relay_test, packets_of_held_flow_allocate_nothing)
 {
@@ -138,117 +31,6 @@
     EXPECT_EQ(test::allocation_count(), before);
 }
 
-// Guards against lost flows when their agent has started again while the host went on.
-TEST_F(agent_relay_test, unknown_packet_after_restart_is_tried_at_host)
-{
-    restart(true);
-    on_packet(make_packet(make_flow()));
-    EXPECT_EQ(take<send_to_host>().size(), 1U);
-    on_host_packet(make_packet(make_flow()));
-    EXPECT_EQ(take_messages<flow_found>().size(), 1U);
-}
-
-// Guards against flows that no table knows although a peer's host holds them.
-TEST_F(agent_relay_test, unknown_packet_asks_all_peers)
-{
-    on_packet(make_packet(make_flow()));
-    const auto sent = take<send_to_agent>();
-    ASSERT_EQ(sent.size(), 2U);
-    EXPECT_EQ(sent[0].path, packet_path::search);
-    on_message(agent_address(2), flow_unknown{make_flow()});
-    EXPECT_TRUE(take<reset_client>().empty());
-    on_message(agent_address(3), flow_found{make_flow(), {}});
-    on_packet(make_packet(make_flow()));
-    ASSERT_EQ(take<send_to_agent>().size(), 1U);
-    EXPECT_EQ(take<send_to_agent>()[0].agent, agent_address(3));
-}
-
-// Guards against clients that wait for their deadline although no host holds their flow.
-TEST_F(agent_relay_test, flow_unknown_to_all_peers_resets_client_once_view_is_confirmed)
-{
-    on_packet(make_packet(make_flow()));
-    on_message(agent_address(2), flow_unknown{make_flow()});
-    on_message(agent_address(3), flow_unknown{make_flow()});
-    EXPECT_TRUE(take<reset_client>().empty());
-    EXPECT_TRUE(m_agent->needs_confirmation());
-    confirm_view();
-    EXPECT_EQ(take<reset_client>().size(), 1U);
-    EXPECT_FALSE(m_agent->needs_confirmation());
-}
-
-// Guards against a reset of an open flow by an agent that does not know the flow's host yet: it had started a moment
-// before.
-TEST_F(agent_relay_test, flow_of_host_missing_in_view_is_searched_again_after_confirmation)
-{
-    on_packet(make_packet(make_flow()));
-    on_message(agent_address(2), flow_unknown{make_flow()});
-    on_message(agent_address(3), flow_unknown{make_flow()});
-    add_host(m_view, make_host(4));
-    confirm_view();
-    EXPECT_TRUE(take<reset_client>().empty());
-    const auto sent = take<send_to_agent>();
-    ASSERT_EQ(sent.size(), 1U) << "the others have answered";
-    EXPECT_EQ(sent[0].agent, agent_address(4));
-    on_message(agent_address(4), flow_unknown{make_flow()});
-    confirm_view();
-    EXPECT_EQ(take<reset_client>().size(), 1U);
-}
-
-// Guards against clients that wait for their own retransmission, up to 1.6 s, because one peer was still starting when
-// all others said that they do not hold the flow: after a loss of power, 700 requests missed their deadline.
-TEST_F(agent_relay_test, search_is_repeated_to_silent_peers)
-{
-    on_packet(make_packet(make_flow()));
-    on_message(agent_address(2), flow_unknown{make_flow()});
-    tick(search_repeat_interval);
-    const auto sent = take<send_to_agent>();
-    ASSERT_EQ(sent.size(), 1U);
-    EXPECT_EQ(sent[0].agent, agent_address(3));
-    EXPECT_EQ(sent[0].path, packet_path::search);
-    EXPECT_EQ(sent[0].bytes.size, bytes().size);
-    on_message(agent_address(3), flow_unknown{make_flow()});
-    confirm_view();
-    EXPECT_EQ(take<reset_client>().size(), 1U);
-}
-
-// Guards against a search that waits for a host which the platform has removed meanwhile.
-TEST_F(agent_relay_test, search_ends_without_peer_that_is_gone)
-{
-    on_packet(make_packet(make_flow()));
-    on_message(agent_address(2), flow_unknown{make_flow()});
-    remove_host(m_view, "i-3");
-    tick(search_repeat_interval);
-    EXPECT_TRUE(m_agent->needs_confirmation());
-    confirm_view();
-    EXPECT_EQ(take<reset_client>().size(), 1U);
-}
-
-// Guards against packets without end for a peer that is dead: the next packet of the client starts over.
-TEST_F(agent_relay_test, search_without_answer_waits_for_client)
-{
-    on_packet(make_packet(make_flow()));
-    for (std::uint32_t i = 0; i < search_repeat_limit; ++i) {
-        tick(search_repeat_interval);
-    }
-    tick(search_repeat_interval);
-    EXPECT_TRUE(take<send_to_agent>().empty());
-    on_packet(make_packet(make_flow()));
-    EXPECT_EQ(take<send_to_agent>().size(), 2U);
-}
-
-// Guards against a reset on the word of a platform that was asked before the flow was searched.
-TEST_F(agent_relay_test, confirmation_from_before_search_resets_nothing)
-{
-    const auto earlier = m_now;
-    advance(core::milliseconds(10));
-    on_packet(make_packet(make_flow()));
-    on_message(agent_address(2), flow_unknown{make_flow()});
-    on_message(agent_address(3), flow_unknown{make_flow()});
-    m_actions.clear();
-    m_agent->on_view_confirmed(earlier, m_now, m_actions);
-    EXPECT_TRUE(take<reset_client>().empty());
-}
-
 // Guards against new flows at a leaving host.
 TEST_F(agent_relay_test, open_at_draining_host_goes_to_peer)
 {
