Remove what the relay did twice or kept for nothing

Found in the closing review; behaviour stays: - Applying a whole view compared each host with each change, the square of 62,000 at full size; the names are looked up in a set, in a function of its own. - view_sync::tell had two ways to send; one loop serves them, and moves changes in place of copying them. The constructor's zone was not used. - update_load_peers looked the service up by name for each opening packet before it compared the revision. - An IPv4 address became an endpoint by way of text and the parser, and text by a loop of its own; relay::endpoint_of is the inverse of ipv4_of, with a test, and ip_of formats. - Both admin servers had the same media types and answer to a wrong path; they stand once, with http_server. - store_task cancelled its call in two places alike.

Ruled out: one codec or socket for the stand-ins and the product; they are meant to differ. The unused stale reads of platform::range_path stay, since a test states them.

Conclusion: no change of behaviour.

--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -133,6 +133,8 @@
     service_index intern(const std::string& name);
     bool apply_host(const host& value, relay::revision at);
     bool apply_removal(const std::string& id, relay::revision at, core::time_point now);
+    /// @brief Ids of the hosts that a whole view of this or a later revision does not name.
+    [[nodiscard]] std::vector<std::string> hosts_not_named(const fleet_update& whole) const;
     bool apply_routes(const route_set& value, relay::revision at);
     bool apply_delta(const route_delta& value, relay::revision at);
     [[nodiscard]] std::vector<route> sorted_routes() const;
--- a/include/daisydoor/relay/packet.hpp
+++ b/include/daisydoor/relay/packet.hpp
@@ -18,6 +18,9 @@
 /// @brief IPv4 address of an endpoint, which must be IPv4.
 ipv4 ipv4_of(const core::endpoint& value) noexcept;
 
+/// @brief The IPv4 endpoint with this address and port.
+core::endpoint endpoint_of(ipv4 address, std::uint16_t port) noexcept;
+
 /// @brief Both ends of a flow as the client sees them; identifies the flow everywhere.
 struct flow_key
 {
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -47,7 +47,7 @@
 {
   public:
     /// @param encoded_size size of an update as it would be sent
-    view_sync(ipv4 self, std::string zone, std::vector<ipv4> seeds, fleet_view& view,
+    view_sync(ipv4 self, std::vector<ipv4> seeds, fleet_view& view,
               std::function<std::size_t(const fleet_update&)> encoded_size);
 
     /// @brief Whether this process should have the platform's next change told by the platform itself.
@@ -121,11 +121,10 @@
     void tell(ipv4 to, subscriber& entry, std::uint32_t answered, core::time_point now, actions& out);
     void note_answer(const fleet_news& value);
     /// @return nothing if the update must be fetched
-    [[nodiscard]] std::vector<fleet_update> split(const fleet_update& value) const;
+    [[nodiscard]] std::vector<fleet_update> split(fleet_update value) const;
     [[nodiscard]] std::vector<ipv4> candidates() const;
 
     ipv4 m_self;
-    std::string m_zone;
     std::vector<ipv4> m_seeds;
     fleet_view& m_view;
     std::function<std::size_t(const fleet_update&)> m_encoded_size;
--- a/include/daisydoor/runtime/detail/http_server.hpp
+++ b/include/daisydoor/runtime/detail/http_server.hpp
@@ -21,6 +21,12 @@
     std::string body;
 };
 
+constexpr const char* json_type = "application/json";
+constexpr const char* prometheus_type = "text/plain; version=0.0.4; charset=utf-8";
+
+/// @brief Answers a path that is not offered.
+http_reply path_not_found();
+
 /// @brief HTTP server for GET requests without a body.
 class http_server
 {
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -50,8 +50,11 @@
 
 void agent_relay::update_load_peers(core::time_point now)
 {
+    if (m_load_peers_revision == m_view.revision()) {
+        return;
+    }
     const auto own = m_view.find_service(m_options.service);
-    if (!own || m_load_peers_revision == m_view.revision()) {
+    if (!own) {
         return;
     }
     m_load_peers_revision = m_view.revision();
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <tuple>
+#include <unordered_set>
 #include <utility>
 #include <xxhash.h>
 
@@ -108,20 +110,9 @@
     }
     std::vector<fleet_change> removals;
     if (is_newer_whole) {
-        std::vector<std::string> missing;
-        for (const auto& [id, entry] : m_hosts) {
-            const bool is_named =
-                std::any_of(update.changes.begin(), update.changes.end(), [&id = id](const fleet_change& it) {
-                    const auto* named = std::get_if<host>(&it.value);
-                    return named != nullptr && named->id == id;
-                });
-            if (!is_named && entry.revision <= update.revision) {
-                missing.push_back(id);
-            }
-        }
-        for (const auto& id : missing) {
+        for (auto& id : hosts_not_named(update)) {
             result.hosts += apply_removal(id, update.revision, now) ? 1 : 0;
-            removals.push_back({update.revision, host_removed{id}});
+            removals.push_back({update.revision, host_removed{std::move(id)}});
         }
     }
     if (!result.needs_whole) {
@@ -140,6 +131,23 @@
     return result;
 }
 
+std::vector<std::string> fleet_view::hosts_not_named(const fleet_update& whole) const
+{
+    std::unordered_set<std::string_view> named;
+    for (const auto& it : whole.changes) {
+        if (const auto* value = std::get_if<host>(&it.value)) {
+            named.insert(value->id);
+        }
+    }
+    std::vector<std::string> result;
+    for (const auto& [id, entry] : m_hosts) {
+        if (named.count(id) == 0 && entry.revision <= whole.revision) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 void fleet_view::remember(const std::vector<fleet_change>& changes, route_version routes_before,
                           const std::vector<route>& before)
 {
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -37,10 +37,9 @@
 
 } // namespace
 
-view_sync::view_sync(ipv4 self, std::string zone, std::vector<ipv4> seeds, fleet_view& view,
+view_sync::view_sync(ipv4 self, std::vector<ipv4> seeds, fleet_view& view,
                      std::function<std::size_t(const fleet_update&)> encoded_size)
-    : m_self(self), m_zone(std::move(zone)), m_seeds(std::move(seeds)), m_view(view),
-      m_encoded_size(std::move(encoded_size))
+    : m_self(self), m_seeds(std::move(seeds)), m_view(view), m_encoded_size(std::move(encoded_size))
 {
 }
 
@@ -88,33 +87,32 @@
     news.after = entry.revision;
     std::vector<fleet_update> parts;
     if (entry.revision < m_view.revision()) {
-        if (const auto update = m_view.changes_after(entry.revision)) {
-            parts = split(*update);
+        if (auto update = m_view.changes_after(entry.revision)) {
+            parts = split(std::move(*update));
         }
         news.fetch = parts.empty();
         entry.fetches = news.fetch;
     }
     if (parts.empty()) {
-        news.update.revision = m_view.revision();
-        news.answered = news.fetch ? 0 : answered;
-        out.push_back(send_message{to, std::move(news)});
-        return;
+        parts.emplace_back().revision = m_view.revision();
     }
-    // A datagram that is lost is made good by the next subscription, which names the revision again.
-    entry.revision = m_view.revision();
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        auto part = news;
+    for (auto& part : parts) {
         // Only with its last part is the state complete.
-        const bool is_last = i + 1 == parts.size();
-        part.age = is_last ? news.age : never;
-        part.answered = is_last ? answered : 0;
-        part.after = i == 0 ? news.after : parts[i - 1].revision;
-        part.update = parts[i];
-        out.push_back(send_message{to, std::move(part)});
+        const bool is_last = &part == &parts.back();
+        auto message = news;
+        message.age = is_last ? news.age : never;
+        message.answered = is_last && !news.fetch ? answered : 0;
+        news.after = part.revision;
+        message.update = std::move(part);
+        out.push_back(send_message{to, std::move(message)});
+    }
+    if (!news.fetch) {
+        // A datagram that is lost is made good by the next subscription, which names the revision again.
+        entry.revision = std::max(entry.revision, m_view.revision());
     }
 }
 
-std::vector<fleet_update> view_sync::split(const fleet_update& value) const
+std::vector<fleet_update> view_sync::split(fleet_update value) const
 {
     std::vector<fleet_update> result(1);
     std::size_t bytes = 0;
@@ -123,7 +121,7 @@
         fleet_update group;
         group.revision = it->revision;
         for (; it != value.changes.end() && it->revision == group.revision; ++it) {
-            group.changes.push_back(*it);
+            group.changes.push_back(std::move(*it));
         }
         const auto size = m_encoded_size(group);
         if (size > max_told_bytes) {
--- a/src/runtime/admin_task.cpp
+++ b/src/runtime/admin_task.cpp
@@ -12,9 +12,6 @@
 {
 
 constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr const char* json_type = "application/json";
-constexpr const char* prometheus_type = "text/plain; version=0.0.4; charset=utf-8";
 
 } // namespace
 
@@ -46,7 +43,7 @@
     if (path == "/metrics") {
         return {status_ok, prometheus_type, metrics_text()};
     }
-    return {status_not_found, "text/plain", "offered are GET /dump and GET /metrics\n"};
+    return path_not_found();
 }
 
 std::string admin_task::dump(const char* service)
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -27,6 +27,8 @@
 
 } // namespace
 
+http_reply path_not_found() { return {EVHTP_RES_NOTFOUND, "text/plain", "offered are GET /dump and GET /metrics\n"}; }
+
 void http_server::server_deleter::operator()(evhtp* value) const noexcept
 {
     evhtp_unbind_socket(value);
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -33,18 +33,9 @@
 /// A view of a few hundred routes takes a few round trips.
 constexpr core::milliseconds fetch_timeout{700};
 constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
 constexpr int status_not_ready = 503;
 
-std::string text_of(relay::ipv4 value)
-{
-    const auto raw = static_cast<std::uint32_t>(value);
-    std::string result;
-    for (int shift = 24; shift >= 0; shift -= 8) {
-        result += (result.empty() ? "" : ".") + std::to_string(raw >> static_cast<unsigned>(shift) & 255U);
-    }
-    return result;
-}
+std::string text_of(relay::ipv4 value) { return ip_of(relay::endpoint_of(value, 0)); }
 
 std::string text_of(const relay::flow_key& value)
 {
@@ -52,11 +43,6 @@
            std::to_string(value.service_port);
 }
 
-core::endpoint endpoint_of(relay::ipv4 address, std::uint16_t port)
-{
-    return core::parse_endpoint(text_of(address) + ':' + std::to_string(port));
-}
-
 std::vector<relay::ipv4> seeds_of(const relay_settings& values)
 {
     std::vector<relay::ipv4> result;
@@ -99,7 +85,7 @@
 
 relay_task::relay_task(kernel& owner, const relay_settings& values, store_task& store, const log_output& log)
     : m_kernel(owner), m_settings(values), m_store(store), m_log(log), m_self(relay::ipv4_of(values.packets)),
-      m_view(values.zone), m_sync(m_self, values.zone, seeds_of(values), m_view, &encoded_size),
+      m_view(values.zone), m_sync(m_self, seeds_of(values), m_view, &encoded_size),
       m_packets(
           owner.base(), values.packets,
           [this](wire::bytes_view bytes, relay::ipv4 from) { on_client_packet(bytes, from); }, [this] { flush(); }),
@@ -234,7 +220,7 @@
 {
     auto& client = m_fetch_clients[value.from];
     if (!client) {
-        client = std::make_unique<http_client>(m_kernel, endpoint_of(value.from, m_settings.admin.port));
+        client = std::make_unique<http_client>(m_kernel, relay::endpoint_of(value.from, m_settings.admin.port));
     }
     http_request request;
     request.path = fleet_path;
@@ -414,16 +400,16 @@
                           : http_reply{status_not_ready, "text/plain", "not ready\n"};
     }
     if (path == "/metrics") {
-        return {status_ok, "text/plain; version=0.0.4; charset=utf-8", metrics_text()};
+        return {status_ok, prometheus_type, metrics_text()};
     }
     if (path == fleet_path && m_view.is_ready()) {
         const auto bytes = relay::encode_update(m_view.snapshot());
         return {status_ok, "application/octet-stream", {bytes.begin(), bytes.end()}};
     }
     if (path == "/dump") {
-        return {status_ok, "application/json", dump()};
+        return {status_ok, json_type, dump()};
     }
-    return {status_not_found, "text/plain", "offered are GET /dump and GET /metrics\n"};
+    return path_not_found();
 }
 
 std::string relay_task::metrics_text()
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -61,22 +61,24 @@
         // A call that answers at once is on its way; the next one starts after it.
         return;
     }
-    if (m_exchange != 0) {
-        m_client.cancel(m_exchange);
-        m_exchange = 0;
-    }
+    cancel_call();
     m_reader.check_now(core::clock::now());
     pump();
 }
 
 void store_task::on_pause()
+{
+    cancel_call();
+    m_reader.on_pause(core::clock::now());
+    pump();
+}
+
+void store_task::cancel_call()
 {
     if (m_exchange != 0) {
         m_client.cancel(m_exchange);
         m_exchange = 0;
     }
-    m_reader.on_pause(core::clock::now());
-    pump();
 }
 
 void store_task::set_mode(relay::read_mode mode, relay::revision held)
--- a/tests/unit/unit-relay-entry.cpp
+++ b/tests/unit/unit-relay-entry.cpp
@@ -197,5 +197,13 @@
     }
 }
 
+// Guards against views that are fetched from another address than that of their source.
+TEST_F(entry_relay_test, endpoint_of_address_is_its_inverse)
+{
+    const auto value = endpoint_of(agent_address(1), 80);
+    EXPECT_EQ(core::to_string(value), "10.2.0.1:80");
+    EXPECT_EQ(ipv4_of(value), agent_address(1));
+}
+
 } // namespace
 } // namespace daisydoor::relay
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -37,7 +37,7 @@
         auto& result = m_processes[address];
         result = std::make_unique<process>();
         result->sync =
-            std::make_unique<view_sync>(address, "a", std::vector<ipv4>{}, result->view,
+            std::make_unique<view_sync>(address, std::vector<ipv4>{}, result->view,
                                         [](const fleet_update& value) { return encode_update(value).size(); });
         return *result;
     }
@@ -229,9 +229,8 @@
     m_is_platform_up = false;
     const ipv4 newcomer{0x0a010009};
     auto& value = add_process(newcomer);
-    value.sync =
-        std::make_unique<view_sync>(newcomer, "a", std::vector<ipv4>{entry_address, agent_address(1)}, value.view,
-                                    [](const fleet_update& update) { return encode_update(update).size(); });
+    value.sync = std::make_unique<view_sync>(newcomer, std::vector<ipv4>{entry_address, agent_address(1)}, value.view,
+                                             [](const fleet_update& update) { return encode_update(update).size(); });
     run(core::milliseconds(50));
     m_is_platform_up = true;
     for (std::uint32_t n = 10; n < 30; ++n) {
@@ -341,7 +340,7 @@
     m_is_platform_up = false;
     const ipv4 newcomer{0x0a010009};
     auto& value = add_process(newcomer);
-    value.sync = std::make_unique<view_sync>(newcomer, "a", std::vector<ipv4>{entry_address}, value.view,
+    value.sync = std::make_unique<view_sync>(newcomer, std::vector<ipv4>{entry_address}, value.view,
                                              [](const fleet_update& update) { return encode_update(update).size(); });
     run(core::milliseconds(1000));
     EXPECT_TRUE(value.view.is_ready());
