Serve short deadlines after all processes were lost

- After the outage, agents counted flows that no client used, and requests whose clients had left, as load for 5 s; they refused new flows because of it, and the entry placed a refused flow at up to eight agents.
- A waiting request was dropped at the timeout of its route, which an operator had lowered to 200 ms while the clients waited for 500 ms; the client's retransmission then reached the host outside the queue.
The requests of clients that had ended their flows were run.
- Service time, deferral and the time of a slot were constants for requests of 40 to 50 ms.
- Entries avoided an agent for a second because it had started 100 ms later, and took an agent that left a packet to the next copy for a dead one.
- A process got the changes after its first view up to 500 ms late, since it subscribed with the next period only.
- Opening packets between a process's start and its view (45 to 85 ms) were dropped.

Change: request_profile learns service time and clients' patience by route; a request ends with its client's FIN, or when the client has stopped retransmitting it; refusals and declined placements are told to the entry (flow_unknown, which older entries ignore); avoidance doubles from 100 ms; opening packets wait for the view, and a process counts as ready in its first 300 ms.

Leaving refused packets to the client's next copy: no difference.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -30,7 +30,8 @@
     host_load load;
 };
 
-/// @brief Reports that the sender's host does not have the flow.
+/// @brief Reports that the sender's host does not have the flow. To an entry that has just placed the flow: the
+/// client's next copy of the opening packet is to be placed anew.
 struct flow_unknown
 {
     flow_key flow;
--- a/include/daisydoor/relay/admission_queue.hpp
+++ b/include/daisydoor/relay/admission_queue.hpp
@@ -2,6 +2,7 @@
 
 #include "daisydoor/core/time.hpp"
 #include "daisydoor/relay/packet.hpp"
+#include "daisydoor/relay/request_profile.hpp"
 #include "daisydoor/wire/datagram.hpp"
 
 #include <cstdint>
@@ -16,9 +17,12 @@
 
 /// Requests that a host may have beyond its slots, so that no slot idles while the next request is on its way.
 constexpr std::uint32_t max_requests_beyond_slots = 1;
-/// A request without an answer for this long no longer counts against the host's slots: its client may have given up,
-/// or the host is slow. Several times the service time of an ordinary request.
-constexpr core::milliseconds service_slot_timeout{800};
+/// A request without an answer for this many service times no longer counts against the host's slots: its client may
+/// have given up, or the host is slow.
+constexpr std::uint32_t service_slot_factor = 16;
+/// Bounds of that time.
+constexpr core::milliseconds min_service_slot_timeout{200};
+constexpr core::milliseconds max_service_slot_timeout{1600};
 /// Maximum number of waiting requests, which bounds their memory; further requests go to the host at once, which
 /// decides itself.
 constexpr std::size_t max_waiting_requests = 400;
@@ -32,8 +36,8 @@
     core::time_point sent_at;
     /// Time after which the answer is late.
     core::milliseconds target_latency{0};
-    /// Time after which the client gives up; 0 if unknown.
-    core::milliseconds timeout{0};
+    /// Time for which the client waits as far as known; 0 if unknown. Some clients wait longer.
+    core::milliseconds patience{0};
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
 };
@@ -44,7 +48,8 @@
 /// in order of arrival, so that requests that are late already also make new ones late, and the host sheds requests
 /// beyond its queue. This queue delivers at most max_requests_beyond_slots more requests than the host has slots.
 /// Requests that can still meet their target latency go first, the more urgent route before the others; late ones
-/// follow while there is room. Requests whose clients have given up are dropped without delivery.
+/// follow while there is room, and last those whose clients have probably given up. A request is dropped without
+/// delivery only when its client has ended the flow or has stopped retransmitting the request.
 class admission_queue
 {
   public:
@@ -60,6 +65,8 @@
     struct dropped_request
     {
         flow_key flow;
+        /// Sequence number of its first packet.
+        std::uint32_t sequence = 0;
         core::milliseconds waited{0};
     };
 
@@ -72,7 +79,7 @@
 
     /// @brief Adds a further packet of a flow.
     /// @return whether it may be delivered at once: false if the flow's request waits; the packet then waits with it
-    bool on_further_packet(const flow_key& flow, std::uint32_t sequence, wire::bytes_view bytes);
+    bool on_further_packet(const flow_key& flow, std::uint32_t sequence, wire::bytes_view bytes, core::time_point now);
 
     /// @brief Removes the flow's request after its answer or the end of the flow, which frees its place.
     void on_request_ended(const flow_key& flow);
@@ -80,6 +87,9 @@
     /// @brief Removes and returns the waiting requests that the host has room for, in the order of delivery.
     std::vector<released_request> release(std::uint32_t slots, core::time_point now);
 
+    /// @brief Sets the expected time from the delivery of a request to its answer.
+    void set_service_time(core::milliseconds time) noexcept { m_service_time = time; }
+
     [[nodiscard]] bool is_waiting(const flow_key& flow) const { return m_waiting.count(flow) != 0; }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
     [[nodiscard]] std::size_t in_service() const noexcept { return m_in_service.size(); }
@@ -91,6 +101,9 @@
     {
         request_urgency urgency;
         core::time_point arrived_at;
+        /// When the client last sent a packet of the request.
+        core::time_point last_packet_at;
+        std::uint32_t retransmissions = 0;
         std::uint64_t arrival_number = 0;
         std::vector<wire::buffer> packets;
         std::vector<std::uint32_t> sequences;
@@ -106,11 +119,14 @@
 
     void expire_slow_requests(core::time_point now);
     void drop_expired(core::time_point now);
+    [[nodiscard]] bool is_on_time(const request_urgency& urgency, core::time_point now) const noexcept;
+    [[nodiscard]] static bool client_has_left(const waiting_request& request, core::time_point now) noexcept;
     [[nodiscard]] bool precedes(const waiting_request& a, const waiting_request& b, core::time_point now) const;
 
     waiting_map m_waiting;
     std::deque<active_request> m_in_service;
     std::uint64_t m_next_number = 0;
+    core::milliseconds m_service_time = initial_service_time;
     std::vector<dropped_request> m_dropped;
 };
 
--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -2,10 +2,12 @@
 
 #include "daisydoor/relay/actions.hpp"
 #include "daisydoor/relay/admission_queue.hpp"
+#include "daisydoor/relay/early_openings.hpp"
 #include "daisydoor/relay/entry_relay.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
 #include "daisydoor/relay/host_health.hpp"
 #include "daisydoor/relay/placement.hpp"
+#include "daisydoor/relay/request_profile.hpp"
 
 #include <deque>
 #include <optional>
@@ -18,6 +20,9 @@
 
 /// Time for a host to answer an opening packet: about 1 ms, and the rest for scheduling delay on a busy processor.
 constexpr core::milliseconds opening_timeout{80};
+/// Time after a host's acceptance of a flow in which its client sends a request; afterwards the flow no longer counts
+/// as load. Another host may have accepted a copy of the opening packet first.
+constexpr core::milliseconds unclaimed_flow_timeout{250};
 /// Consecutive unanswered opening packets after which new flows avoid the host. Packets between an agent and its host
 /// are not lost, so that a missing answer is due to the host.
 constexpr std::uint32_t max_unanswered_openings = 2;
@@ -72,6 +77,10 @@
     /// @brief Handles a packet that the host sent, or returned because it does not have or cannot accept the flow.
     void on_host_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
 
+    /// @brief Handles the opening packets that arrived before the process had a fleet view; to be called when it has
+    /// one.
+    void on_view_ready(core::time_point now, actions& out);
+
     /// @brief Handles a control message of a peer.
     void on_message(ipv4 from, const message& value, core::time_point now);
 
@@ -119,6 +128,10 @@
         bool request_pending = false;
         /// The request was delivered and occupies a place in the admission queue.
         bool in_service = false;
+        /// The client ended the flow while its request waited.
+        bool client_gave_up = false;
+        /// The request waited for longer than its client was expected to, and was dropped.
+        bool request_dropped = false;
         bool client_fin = false;
         bool host_fin = false;
         /// Entry that last forwarded a packet of the flow.
@@ -134,6 +147,8 @@
         /// When the client sent the first copy of its opening packet.
         core::time_point opened_at;
         core::time_point last_activity_at;
+        /// When the client sent the current or last request.
+        core::time_point request_sent_at;
         core::time_point request_pending_since;
         /// When the request was delivered to the host.
         core::time_point delivered_at;
@@ -148,6 +163,13 @@
         core::time_point repeat_at;
     };
 
+    /// A flow that the host has accepted and the client has not used yet.
+    struct unclaimed_flow
+    {
+        flow_key flow;
+        core::time_point due;
+    };
+
     struct search_repeat
     {
         flow_key flow;
@@ -165,7 +187,12 @@
 
     using flow_map = std::unordered_map<flow_key, flow_record, flow_key_hash>;
 
+    void handle(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
     void open(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    /// @brief Leaves an opening packet to the client's next copy.
+    static void decline(const packet& value, const host_load& load, std::string_view reason, actions& out);
+    /// @brief Resets a flow that was not opened, and ends its placement at the entry.
+    void refuse(const flow_key& flow, ipv4 entry, std::uint8_t hops, std::string_view reason, actions& out);
     void on_repeated_opening(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                              actions& out);
     bool redirect_flow(const flow_key& flow, wire::bytes_view bytes, ipv4 entry, std::uint8_t hops,
@@ -189,19 +216,24 @@
                       core::time_point now, actions& out);
     void send_flow_found(const flow_key& flow, ipv4 entry, actions& out);
     void set_request_pending(const flow_key& flow, flow_record& record, bool request_pending, core::time_point now);
+    /// @brief Whether the client ends the flow without sending anything new.
+    [[nodiscard]] static bool is_repeated_end(const flow_record& record, const packet& value) noexcept;
     bool may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                      actions& out);
     void release_requests(core::time_point now, actions& out);
-    void update_mean_service_time(core::milliseconds time) noexcept;
-    [[nodiscard]] core::milliseconds mean_service_time() const noexcept;
+    /// @brief Records that the client still waits for the answer to its request.
+    void record_client_waits(const flow_key& flow, const flow_record& record, core::time_point now);
+    [[nodiscard]] core::milliseconds patience_of(const flow_key& flow) const;
     [[nodiscard]] std::uint32_t slots() const noexcept;
     void set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept;
     void set_fin_seen(flow_record& record, bool client_fin, bool host_fin) noexcept;
     [[nodiscard]] static bool is_open(const flow_record& record) noexcept;
     void clear_host_suspicion(core::time_point now, actions& out);
     void check_openings(core::time_point now, actions& out);
+    void check_unclaimed_flows(core::time_point now);
     void report(core::time_point now, actions& out);
     void sweep(core::time_point now);
+    [[nodiscard]] bool is_abandoned(const flow_key& flow, const flow_record& record, core::time_point now) const;
     [[nodiscard]] bool host_may_have_unknown_flow(core::time_point now) const noexcept;
     [[nodiscard]] bool accepts() const noexcept;
     void record_request_outcome(bool answered, std::string_view failure, const flow_key& flow, core::time_point now,
@@ -232,6 +264,7 @@
     admission_queue m_admission;
     host_health m_health;
     std::deque<opening_record> m_openings;
+    std::deque<unclaimed_flow> m_unclaimed;
     /// Searches to repeat, the next one first.
     std::deque<search_repeat> m_search_repeats;
     /// Flows in phase unconfirmed.
@@ -242,9 +275,7 @@
     /// Last report of each peer, by its address.
     std::unordered_map<std::uint32_t, reported_load> m_peer_loads;
     std::uint32_t m_in_flight = 0;
-    /// Mean time in milliseconds from the delivery of a request to its answer; the initial value is that of an ordinary
-    /// request.
-    double m_mean_service_ms = 50;
+    request_profile m_profile;
     std::uint32_t m_open_flows = 0;
     std::uint32_t m_unanswered_openings = 0;
     bool m_suspected = false;
@@ -254,6 +285,9 @@
     core::time_point m_next_idle_report;
     core::time_point m_next_sweep;
     host_load m_last_report;
+    early_openings m_early{agent_opening_age};
+    /// Storage for the early opening packets that the last call handled.
+    std::deque<early_openings::opening> m_handled_early;
     /// Storage for the opening packets that the last call sent again.
     std::deque<std::array<std::uint8_t, opening_packet_size>> m_resent_openings;
 };
--- a/include/daisydoor/relay/entry_relay.hpp
+++ b/include/daisydoor/relay/entry_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daisydoor/relay/actions.hpp"
+#include "daisydoor/relay/early_openings.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
 
 #include <array>
@@ -11,14 +12,13 @@
 namespace daisydoor::relay
 {
 
-/// Size of an opening packet in bytes: a header without data.
-constexpr std::size_t opening_packet_size = 32;
-
 /// Time for an agent to confirm a placement: two delays of about 5 ms to another availability zone, and scheduling
 /// delay.
 constexpr core::milliseconds placement_timeout{60};
-/// Time for which an agent that did not confirm is tried last; afterwards a new flow probes it.
-constexpr core::milliseconds agent_avoid_time{1000};
+/// Time for which an agent that did not confirm is tried last; afterwards a new flow probes it. Doubles with each probe
+/// that is not confirmed, up to the maximum: most agents that do not answer are just starting.
+constexpr core::milliseconds agent_avoid_time{100};
+constexpr core::milliseconds max_agent_avoid_time{1000};
 /// Consecutive unconfirmed placements after which an agent is avoided; a single one may be due to a lost datagram.
 constexpr std::uint32_t max_unconfirmed_placements = 2;
 
@@ -38,6 +38,10 @@
     /// @brief Handles a control message of an agent.
     void on_message(ipv4 from, const message& value, core::time_point now, actions& out);
 
+    /// @brief Handles the opening packets that arrived before the process had a fleet view; to be called when it has
+    /// one.
+    void on_view_ready(core::time_point now, actions& out);
+
     /// @brief Places flows whose agent did not confirm at another agent, and removes idle flows.
     void on_tick(core::time_point now, actions& out);
 
@@ -63,9 +67,11 @@
     struct agent_record
     {
         std::uint32_t unconfirmed_placements = 0;
+        core::milliseconds avoid_time = agent_avoid_time;
         core::time_point avoid_until;
     };
 
+    void handle(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void open(const packet& value, wire::bytes_view bytes, const known_route& route, core::time_point now,
               actions& out);
     void place(pending_placement placement, const known_route& route, core::time_point now, actions& out);
@@ -73,6 +79,9 @@
                          actions& out);
     void forward(flow_record& record, wire::bytes_view bytes, core::time_point now, actions& out);
     void confirm(ipv4 agent, const flow_key& flow, core::time_point now);
+    /// @brief Ends a placement that an agent declined.
+    void end_placement(ipv4 agent, const flow_key& flow);
+    void remove_pending(const flow_key& flow);
     void record_unconfirmed_placement(ipv4 agent, const flow_key& flow, core::time_point now, actions& out);
     [[nodiscard]] bool is_avoided(ipv4 agent, core::time_point now) const;
     void remove_idle_flows(core::time_point now);
@@ -83,6 +92,9 @@
     std::deque<pending_placement> m_pending;
     std::unordered_map<std::uint32_t, agent_record> m_agents;
     core::time_point m_next_sweep;
+    early_openings m_early{entry_opening_age};
+    /// Storage for the early opening packets that the last call handled.
+    std::deque<early_openings::opening> m_handled_early;
     /// Storage for the opening packets that the last call sent again.
     std::deque<std::array<std::uint8_t, opening_packet_size>> m_resent_openings;
 };
--- a/include/daisydoor/relay/packet.hpp
+++ b/include/daisydoor/relay/packet.hpp
@@ -45,6 +45,9 @@
     std::size_t operator()(const flow_key& flow) const noexcept { return hash_of(flow); }
 };
 
+/// Size of an opening packet in bytes: a header without data.
+constexpr std::size_t opening_packet_size = 32;
+
 /// @brief Why a packet was sent to the process that handles it.
 enum class packet_path : std::uint8_t
 {
--- a/include/daisydoor/relay/placement.hpp
+++ b/include/daisydoor/relay/placement.hpp
@@ -58,23 +58,38 @@
 /// @param flows_redirected flows redirected to the host since its report
 double pressure_of(const host_load& load, std::uint32_t flows_redirected) noexcept;
 
-/// Requests per slot at or above which a new flow is deferred to the client's next copy of its opening packet while
-/// load reports of peers are missing: about 100 ms of work, half of the time until that copy.
-constexpr std::uint32_t defer_requests_per_slot = 3;
+/// Expected wait at or above which a new flow is deferred to the client's next copy of its opening packet while load
+/// reports of peers are missing: half of the time until that copy.
+constexpr core::milliseconds defer_wait{100};
+
+/// @brief Age of an opening packet: clients send copies 200 and 600 ms after the first.
+/// @param copies number of copies that the client sent before
+core::milliseconds age_of_copy(std::uint32_t copies) noexcept;
+
+/// @brief Time for which a new request would wait in front of a host.
+/// @param service_time mean time from the delivery of a request to its answer at the host
+core::milliseconds expected_wait(const host_load& own, core::milliseconds service_time) noexcept;
 
 /// @brief Whether a new flow should wait for the client's next copy of its opening packet.
 ///
 /// Load pattern: after an outage agents restart one after the other. The first would get all new flows, and long flows
-/// would stay there for minutes. The last copy is never deferred.
+/// would stay there for minutes. The last copy that a client sends before it gives up is never deferred.
 /// @param copies number of copies that the client sent before
-bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies) noexcept;
+/// @param service_time mean time from the delivery of a request to its answer at the host
+/// @param patience time for which the client waits for an answer; 0 if unknown
+bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies,
+                  core::milliseconds service_time, core::milliseconds patience) noexcept;
 
-/// @brief Whether a new request would wait in the queue for longer than its client's timeout.
+/// @brief Whether a new request would wait in the queue until its client has left.
 ///
-/// Load pattern: lasting overload. A client that is refused at once still has time to try another host.
+/// Load pattern: lasting overload, and opening packets that clients sent before an outage. A client that is refused at
+/// once still has time to try again; a request that waits until its client has left costs the client its attempt. A
+/// flow that finds a free slot is never refused, since some clients wait longer than their route says.
+/// @param copies number of copies of the opening packet that the client sent before
 /// @param service_time mean time from the delivery of a request to its answer at the host
-/// @param timeout time after which the client gives up; 0 if unknown
-bool exceeds_client_timeout(const host_load& own, core::milliseconds service_time, core::milliseconds timeout) noexcept;
+/// @param patience time for which the client waits for an answer; 0 if unknown
+bool exceeds_patience(const host_load& own, std::uint32_t copies, core::milliseconds service_time,
+                      core::milliseconds patience) noexcept;
 
 /// @brief Chooses the peer to which an agent redirects a new flow, if any.
 ///
--- a/include/daisydoor/runtime/detail/relay_task.hpp
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -83,6 +83,9 @@
     metrics m_metrics;
     /// One client for each process from which a fleet view was fetched.
     std::map<relay::ipv4, std::unique_ptr<http_client>> m_fetch_clients;
+    core::time_point m_started_at;
+    /// The process has or had a fleet view.
+    bool m_had_view = false;
     core::time_point m_last_tick;
     /// Total time that the machine had been suspended at the last tick.
     core::duration m_suspended{};
--- a/src/relay/admission_queue.cpp
+++ b/src/relay/admission_queue.cpp
@@ -9,17 +9,21 @@
 namespace
 {
 
-/// Expected time from the delivery of a request to its answer; a request with less time left will be late.
-constexpr core::milliseconds expected_service_time{60};
+/// Clients retransmit a request after this time, then after double the former time up to the maximum.
+constexpr core::milliseconds first_retransmission{200};
+constexpr core::milliseconds max_retransmission{1600};
+/// Allows for the delay of a retransmission on its way.
+constexpr core::milliseconds retransmission_slack{100};
 
-bool is_on_time(const request_urgency& urgency, core::time_point now) noexcept
+core::milliseconds next_retransmission(std::uint32_t retransmissions) noexcept
 {
-    return now + expected_service_time < urgency.sent_at + urgency.target_latency;
+    constexpr std::uint32_t doublings = 3;
+    return std::min(first_retransmission * (1U << std::min(retransmissions, doublings)), max_retransmission);
 }
 
-bool client_timed_out(const request_urgency& urgency, core::time_point now) noexcept
+bool exceeds_patience(const request_urgency& urgency, core::time_point now) noexcept
 {
-    return urgency.timeout.count() > 0 && now >= urgency.sent_at + urgency.timeout;
+    return urgency.patience.count() > 0 && now >= urgency.sent_at + urgency.patience;
 }
 
 } // namespace
@@ -36,21 +40,38 @@
     auto& entry = m_waiting[flow];
     entry.urgency = urgency;
     entry.arrived_at = now;
+    entry.last_packet_at = now;
     entry.arrival_number = m_next_number++;
     entry.packets.emplace_back(bytes.data, bytes.data + bytes.size);
     entry.sequences.push_back(sequence);
     return false;
 }
 
-bool admission_queue::on_further_packet(const flow_key& flow, std::uint32_t sequence, wire::bytes_view bytes)
+bool admission_queue::is_on_time(const request_urgency& urgency, core::time_point now) const noexcept
+{
+    return now + m_service_time < urgency.sent_at + urgency.target_latency;
+}
+
+bool admission_queue::client_has_left(const waiting_request& request, core::time_point now) noexcept
+{
+    const auto silence = now - request.last_packet_at;
+    return exceeds_patience(request.urgency, now) &&
+           silence > next_retransmission(request.retransmissions) + retransmission_slack;
+}
+
+bool admission_queue::on_further_packet(const flow_key& flow, std::uint32_t sequence, wire::bytes_view bytes,
+                                        core::time_point now)
 {
     const auto it = m_waiting.find(flow);
     if (it == m_waiting.end()) {
         return true;
     }
     auto& entry = it->second;
+    entry.last_packet_at = now;
     const bool is_copy = std::find(entry.sequences.begin(), entry.sequences.end(), sequence) != entry.sequences.end();
-    if (!is_copy && entry.packets.size() < max_waiting_packets) {
+    if (is_copy) {
+        ++entry.retransmissions;
+    } else if (entry.packets.size() < max_waiting_packets) {
         entry.packets.emplace_back(bytes.data, bytes.data + bytes.size);
         entry.sequences.push_back(sequence);
     }
@@ -89,15 +110,18 @@
 
 bool admission_queue::precedes(const waiting_request& a, const waiting_request& b, core::time_point now) const
 {
-    const auto rank = [now](const waiting_request& it) {
-        return std::make_tuple(!is_on_time(it.urgency, now), it.urgency.priority, it.arrival_number);
+    const auto rank = [this, now](const waiting_request& it) {
+        return std::make_tuple(exceeds_patience(it.urgency, now), !is_on_time(it.urgency, now), it.urgency.priority,
+                               it.arrival_number);
     };
     return rank(a) < rank(b);
 }
 
 void admission_queue::expire_slow_requests(core::time_point now)
 {
-    while (!m_in_service.empty() && now - m_in_service.front().since > service_slot_timeout) {
+    const auto timeout =
+        std::clamp(m_service_time * service_slot_factor, min_service_slot_timeout, max_service_slot_timeout);
+    while (!m_in_service.empty() && now - m_in_service.front().since > timeout) {
         m_in_service.pop_front();
     }
 }
@@ -105,11 +129,12 @@
 void admission_queue::drop_expired(core::time_point now)
 {
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        if (!client_timed_out(it->second.urgency, now)) {
+        if (!client_has_left(it->second, now)) {
             ++it;
             continue;
         }
-        m_dropped.push_back({it->first, std::chrono::duration_cast<core::milliseconds>(now - it->second.arrived_at)});
+        m_dropped.push_back({it->first, it->second.sequences.front(),
+                             std::chrono::duration_cast<core::milliseconds>(now - it->second.arrived_at)});
         it = m_waiting.erase(it);
     }
 }
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_load.cpp
@@ -11,15 +11,14 @@
 
 /// Time for which a closed flow stays in the table: both ends retransmit their last packets for up to 1.6 s.
 constexpr core::milliseconds closed_flow_time{3000};
-/// A pending request no longer counts as load after this time: its client gave up without closing the flow. No route's
-/// timeout is longer.
-constexpr core::milliseconds abandoned_request_timeout{5000};
+/// A pending request no longer counts as load when its client's patience and this time are over: the client gave up
+/// without closing the flow.
+constexpr core::milliseconds abandoned_request_slack{300};
+/// Patience of the clients of a route without a timeout.
+constexpr core::milliseconds default_patience{5000};
 /// A host returns a packet of an unknown flow at once; if it has not done so within this time, it has the flow.
 constexpr core::milliseconds probing_time{200};
 
-/// Weight of one request in the mean service time, which covers about the last twenty requests.
-constexpr double service_time_weight = 0.05;
-
 } // namespace
 
 void agent_relay::clear_host_suspicion(core::time_point now, actions& out)
@@ -74,7 +73,7 @@
     for (auto it = m_flows.begin(); it != m_flows.end();) {
         auto& record = it->second;
         const auto age = now - record.last_activity_at;
-        if (record.request_pending && now - record.request_pending_since > abandoned_request_timeout) {
+        if (is_abandoned(it->first, record, now)) {
             set_request_pending(it->first, record, false, now);
         }
         if (record.phase == flow_phase::probing && now - record.phase_started_at > probing_time && !m_suspected) {
@@ -93,6 +92,16 @@
     }
 }
 
+bool agent_relay::is_abandoned(const flow_key& flow, const flow_record& record, core::time_point now) const
+{
+    if (!record.request_pending || m_admission.is_waiting(flow)) {
+        return false;
+    }
+    const auto known = patience_of(flow);
+    const auto patience = known.count() > 0 ? known : default_patience;
+    return now - record.request_pending_since > patience + abandoned_request_slack;
+}
+
 void agent_relay::send_flow_found(const flow_key& flow, ipv4 entry, actions& out)
 {
     if (entry != ipv4{}) {
@@ -115,14 +124,16 @@
     m_admission.on_request_ended(flow);
 }
 
-void agent_relay::update_mean_service_time(core::milliseconds time) noexcept
+void agent_relay::record_client_waits(const flow_key& flow, const flow_record& record, core::time_point now)
 {
-    m_mean_service_ms += service_time_weight * (static_cast<double>(time.count()) - m_mean_service_ms);
+    const auto age = std::chrono::duration_cast<core::milliseconds>(now - record.request_sent_at);
+    m_profile.on_client_waits(flow, age, now);
 }
 
-core::milliseconds agent_relay::mean_service_time() const noexcept
+core::milliseconds agent_relay::patience_of(const flow_key& flow) const
 {
-    return core::milliseconds(static_cast<std::int64_t>(m_mean_service_ms));
+    const auto* route = m_view.find_route(flow.service, flow.service_port);
+    return route != nullptr ? m_profile.patience(flow, route->value.timeout) : core::milliseconds(0);
 }
 
 void agent_relay::set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -12,14 +12,6 @@
 /// Interval at which closed and idle flows are removed; a flow that stays a little longer costs only its memory.
 constexpr core::milliseconds sweep_interval{500};
 
-/// Age of the n-th copy of an opening packet: clients send copies 200 and 600 ms after the first.
-core::milliseconds age_of_copy(std::uint32_t copies) noexcept
-{
-    constexpr core::milliseconds first_copy{200};
-    constexpr core::milliseconds second_copy{600};
-    return copies == 0 ? core::milliseconds(0) : copies == 1 ? first_copy : second_copy;
-}
-
 /// Whether a 32-bit sequence number is after another one.
 bool is_after(std::uint32_t a, std::uint32_t b) noexcept { return static_cast<std::int32_t>(a - b) > 0; }
 
@@ -34,8 +26,23 @@
 {
     m_resent_openings.clear();
     if (!m_view.is_ready()) {
+        m_early.add(value, bytes, from, now);
         return;
     }
+    handle(value, bytes, from, now, out);
+}
+
+void agent_relay::on_view_ready(core::time_point now, actions& out)
+{
+    m_resent_openings.clear();
+    m_handled_early = m_early.take(now);
+    for (const auto& it : m_handled_early) {
+        handle(it.value, {it.bytes.data(), it.bytes.size()}, it.from, now, out);
+    }
+}
+
+void agent_relay::handle(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
+{
     if (value.path == packet_path::search) {
         on_search(value, bytes, from, now, out);
         return;
@@ -120,13 +127,14 @@
         out.push_back(send_to_host{bytes, value.entry});
         return;
     }
-    if (should_defer(load, peers, value.acknowledgement)) {
-        out.push_back(decision_record{decision::unanswered, value.flow, {}, value.hops, load, "peers_missing"});
+    const auto service_time = m_profile.service_time();
+    const auto patience = patience_of(value.flow);
+    if (should_defer(load, peers, value.acknowledgement, service_time, patience)) {
+        decline(value, load, "peers_missing", out);
         return;
     }
-    if (is_allowed && exceeds_client_timeout(load, mean_service_time(), route->value.timeout)) {
-        out.push_back(reset_client{value.flow, 0});
-        out.push_back(decision_record{decision::refused, value.flow, {}, value.hops, load, "queue_exceeds_timeout"});
+    if (is_allowed && exceeds_patience(load, value.acknowledgement, service_time, patience)) {
+        refuse(value.flow, value.entry, value.hops, "queue_exceeds_timeout", out);
         return;
     }
     const bool is_last_resort = is_allowed && (m_suspected || m_health.is_failing()) && !m_draining;
@@ -134,8 +142,24 @@
         open_at_host(value, bytes, now, out);
         return;
     }
-    out.push_back(reset_client{value.flow, 0});
-    out.push_back(decision_record{decision::refused, value.flow, {}, value.hops, load, "no_host_accepts"});
+    refuse(value.flow, value.entry, value.hops, "no_host_accepts", out);
+}
+
+void agent_relay::refuse(const flow_key& flow, ipv4 entry, std::uint8_t hops, std::string_view reason, actions& out)
+{
+    out.push_back(reset_client{flow, 0});
+    // The entry must not place the flow at another agent: the host there would serve a client that was told otherwise.
+    if (entry != ipv4{}) {
+        out.push_back(send_message{entry, flow_unknown{flow}});
+    }
+    out.push_back(decision_record{decision::refused, flow, {}, hops, load(), reason});
+}
+
+void agent_relay::decline(const packet& value, const host_load& load, std::string_view reason, actions& out)
+{
+    // Tells the entry that this agent is alive, so that it neither avoids the agent nor places this copy again.
+    out.push_back(send_message{value.entry, flow_unknown{value.flow}});
+    out.push_back(decision_record{decision::unanswered, value.flow, {}, value.hops, load, reason});
 }
 
 void agent_relay::on_repeated_opening(flow_record& record, const packet& value, wire::bytes_view bytes,
@@ -162,6 +186,7 @@
     record.entry = value.entry;
     record.last_activity_at = now;
     record.opened_at = now - age_of_copy(value.acknowledgement);
+    record.request_sent_at = record.opened_at;
     // The client sends its request as soon as the flow is open.
     set_request_pending(value.flow, record, true, now);
     opening_record opening;
@@ -212,6 +237,17 @@
 {
     record.last_activity_at = now;
     set_fin_seen(record, record.client_fin || value.fin || value.rst, record.host_fin);
+    const bool ends_waiting_request =
+        (value.rst || is_repeated_end(record, value)) && m_admission.is_waiting(value.flow);
+    if (ends_waiting_request) {
+        set_request_pending(value.flow, record, false, now);
+        record.client_gave_up = true;
+        out.push_back(decision_record{decision::request_dropped, value.flow, {}, 0, load(), "client_left"});
+    }
+    if (record.client_gave_up && !value.rst) {
+        // The client still retransmits the request, which must not run any more.
+        return;
+    }
     if (may_deliver(record, value, bytes, now, out)) {
         out.push_back(send_to_host{bytes, value.entry});
     }
@@ -220,6 +256,12 @@
     }
 }
 
+bool agent_relay::is_repeated_end(const flow_record& record, const packet& value) noexcept
+{
+    const std::uint32_t end = value.sequence + value.payload_size;
+    return value.fin && record.client_sequence != 0 && !is_after(end, record.client_sequence);
+}
+
 bool agent_relay::may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
                               actions& out)
 {
@@ -228,24 +270,30 @@
     const bool is_new = value.payload_size > 0 && (is_first || is_after(end, record.client_sequence));
     if (is_new) {
         record.client_sequence = end;
+    } else if (value.payload_size > 0 && record.request_pending) {
+        record_client_waits(value.flow, record, now);
     }
     if (m_admission.is_waiting(value.flow)) {
         // An acknowledgement alone may overtake the request.
         const bool is_part = value.payload_size > 0 || value.fin;
-        return !is_part || m_admission.on_further_packet(value.flow, value.sequence, bytes);
+        return !is_part || m_admission.on_further_packet(value.flow, value.sequence, bytes, now);
     }
     if (!is_new) {
         return true;
     }
+    const bool is_further_packet = record.request_pending && !is_first;
     set_request_pending(value.flow, record, true, now);
     if (record.in_service) {
         return true;
     }
+    if (!is_further_packet && !std::exchange(record.request_dropped, false)) {
+        record.request_sent_at = is_first && record.opened_at != core::time_point{} ? record.opened_at : now;
+    }
     request_urgency urgency;
-    urgency.sent_at = is_first && record.opened_at != core::time_point{} ? record.opened_at : now;
+    urgency.sent_at = record.request_sent_at;
     if (const auto* route = m_view.find_route(value.flow.service, value.flow.service_port)) {
         urgency.target_latency = route->value.target_latency;
-        urgency.timeout = route->value.timeout;
+        urgency.patience = patience_of(value.flow);
         urgency.priority = route->value.priority;
     }
     record.in_service = m_admission.on_request(value.flow, urgency, value.sequence, bytes, slots(), now);
@@ -275,6 +323,9 @@
     for (const auto& request : m_admission.take_dropped()) {
         if (const auto it = m_flows.find(request.flow); it != m_flows.end()) {
             set_request_pending(request.flow, it->second, false, now);
+            // A retransmission, which may have been delayed, is a request again.
+            it->second.client_sequence = request.sequence;
+            it->second.request_dropped = true;
         }
         out.push_back(
             decision_record{decision::request_dropped, request.flow, {}, 0, load(), "client_left", request.waited});
@@ -295,6 +346,9 @@
     record.last_activity_at = now;
     const bool was_established = !added && record.phase == flow_phase::established;
     if (!was_established) {
+        if (value.syn) {
+            m_unclaimed.push_back({value.flow, now + unclaimed_flow_timeout});
+        }
         const ipv4 searcher = !added && record.phase == flow_phase::probing ? record.peer : ipv4{};
         set_phase(record, flow_phase::established, now);
         if (record.entry != ipv4{}) {
@@ -317,7 +371,8 @@
             record_request_outcome(has_answer, value.rst ? "host_resets" : "host_closes", value.flow, now, out);
         }
         if (record.in_service && value.payload_size > 0) {
-            update_mean_service_time(std::chrono::duration_cast<core::milliseconds>(now - record.delivered_at));
+            m_profile.on_answer(value.flow, std::chrono::duration_cast<core::milliseconds>(now - record.delivered_at));
+            m_admission.set_service_time(m_profile.service_time());
         }
         set_request_pending(value.flow, record, false, now);
     }
@@ -336,7 +391,12 @@
         return;
     }
     auto& record = it->second;
-    if (record.phase == flow_phase::probing && record.peer != ipv4{}) {
+    if (value.rst || record.client_gave_up) {
+        // The client has ended the flow, so that there is nothing to reset.
+        set_request_pending(value.flow, record, false, now);
+        set_phase(record, flow_phase::lost, now);
+        m_flows.erase(it);
+    } else if (record.phase == flow_phase::probing && record.peer != ipv4{}) {
         out.push_back(send_message{record.peer, flow_unknown{value.flow}});
         m_flows.erase(it);
     } else if (record.phase == flow_phase::probing) {
@@ -368,8 +428,7 @@
     if (!redirect_opening(opening, bytes, "host_returned", now, out)) {
         set_request_pending(value.flow, m_flows[value.flow], false, now);
         m_flows.erase(value.flow);
-        out.push_back(reset_client{value.flow, 0});
-        out.push_back(decision_record{decision::refused, value.flow, {}, opening.hops, load(), "host_returned"});
+        refuse(value.flow, opening.entry, opening.hops, "host_returned", out);
     }
 }
 
@@ -402,7 +461,9 @@
 void agent_relay::on_tick(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
+    m_handled_early.clear();
     check_openings(now, out);
+    check_unclaimed_flows(now);
     repeat_searches(now, out);
     release_requests(now, out);
     report(now, out);
@@ -412,6 +473,16 @@
     }
 }
 
+void agent_relay::check_unclaimed_flows(core::time_point now)
+{
+    for (; !m_unclaimed.empty() && m_unclaimed.front().due <= now; m_unclaimed.pop_front()) {
+        const auto it = m_flows.find(m_unclaimed.front().flow);
+        if (it != m_flows.end() && it->second.phase == flow_phase::established && it->second.client_sequence == 0) {
+            set_request_pending(it->first, it->second, false, now);
+        }
+    }
+}
+
 void agent_relay::check_openings(core::time_point now, actions& out)
 {
     while (!m_openings.empty() && m_openings.front().deadline <= now) {
--- a/src/relay/entry_relay.cpp
+++ b/src/relay/entry_relay.cpp
@@ -21,8 +21,23 @@
 {
     m_resent_openings.clear();
     if (!m_view.is_ready()) {
+        m_early.add(value, bytes, {}, now);
         return;
     }
+    handle(value, bytes, now, out);
+}
+
+void entry_relay::on_view_ready(core::time_point now, actions& out)
+{
+    m_resent_openings.clear();
+    m_handled_early = m_early.take(now);
+    for (const auto& it : m_handled_early) {
+        handle(it.value, {it.bytes.data(), it.bytes.size()}, now, out);
+    }
+}
+
+void entry_relay::handle(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
+{
     const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
     if (route == nullptr) {
         // Flows of a route that this process does not know yet may be open; only a dropped route ends its flows.
@@ -127,6 +142,8 @@
 {
     if (const auto* found = std::get_if<flow_found>(&value)) {
         confirm(from, found->flow, now);
+    } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
+        end_placement(from, unknown->flow);
     }
 }
 
@@ -134,6 +151,20 @@
 {
     m_flows.insert_or_assign(flow, flow_record{agent, now, true});
     m_agents.erase(static_cast<std::uint32_t>(agent));
+    remove_pending(flow);
+}
+
+void entry_relay::end_placement(ipv4 agent, const flow_key& flow)
+{
+    m_agents.erase(static_cast<std::uint32_t>(agent));
+    if (const auto it = m_flows.find(flow); it != m_flows.end() && !it->second.confirmed) {
+        m_flows.erase(it);
+        remove_pending(flow);
+    }
+}
+
+void entry_relay::remove_pending(const flow_key& flow)
+{
     const auto it = std::find_if(m_pending.begin(), m_pending.end(),
                                  [&flow](const auto& placement) { return placement.flow == flow; });
     if (it != m_pending.end()) {
@@ -144,6 +175,7 @@
 void entry_relay::on_tick(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
+    m_handled_early.clear();
     while (!m_pending.empty() && m_pending.front().deadline <= now) {
         auto placement = std::move(m_pending.front());
         m_pending.pop_front();
@@ -161,8 +193,9 @@
 void entry_relay::record_unconfirmed_placement(ipv4 agent, const flow_key& flow, core::time_point now, actions& out)
 {
     auto& record = m_agents[static_cast<std::uint32_t>(agent)];
-    if (++record.unconfirmed_placements >= max_unconfirmed_placements) {
-        record.avoid_until = now + agent_avoid_time;
+    if (++record.unconfirmed_placements >= max_unconfirmed_placements && now >= record.avoid_until) {
+        record.avoid_until = now + record.avoid_time;
+        record.avoid_time = std::min(record.avoid_time * 2, max_agent_avoid_time);
         out.push_back(decision_record{decision::agent_suspected, flow, agent, 0, {}, "placements_unconfirmed"});
     }
 }
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -149,19 +149,34 @@
     return wait + pressure_per_open_flow * load.open_flows / slots;
 }
 
-bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies) noexcept
+core::milliseconds age_of_copy(std::uint32_t copies) noexcept
 {
-    const bool is_busy = own.in_flight >= own.slots * defer_requests_per_slot;
-    return is_busy && copies < last_copy &&
-           std::any_of(peers.begin(), peers.end(), [](const peer_load& it) { return !it.has_reported; });
+    constexpr core::milliseconds first_copy{200};
+    constexpr core::milliseconds second_copy{600};
+    return copies == 0 ? core::milliseconds(0) : copies == 1 ? first_copy : second_copy;
 }
 
-bool exceeds_client_timeout(const host_load& own, core::milliseconds service_time, core::milliseconds timeout) noexcept
+core::milliseconds expected_wait(const host_load& own, core::milliseconds service_time) noexcept
 {
     // The service time includes the wait at the host, which gets max_requests_beyond_slots more requests than it has
     // slots.
-    const auto wait = service_time * own.in_flight / (own.slots + max_requests_beyond_slots);
-    return timeout.count() > 0 && wait >= timeout;
+    return service_time * own.in_flight / (own.slots + max_requests_beyond_slots);
+}
+
+bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies,
+                  core::milliseconds service_time, core::milliseconds patience) noexcept
+{
+    const bool sends_copy =
+        copies < last_copy && (patience.count() == 0 || age_of_copy(copies + 1) + defer_wait < patience);
+    return sends_copy && expected_wait(own, service_time) >= defer_wait &&
+           std::any_of(peers.begin(), peers.end(), [](const peer_load& it) { return !it.has_reported; });
+}
+
+bool exceeds_patience(const host_load& own, std::uint32_t copies, core::milliseconds service_time,
+                      core::milliseconds patience) noexcept
+{
+    const auto wait = expected_wait(own, service_time);
+    return patience.count() > 0 && wait >= service_time && wait >= patience - age_of_copy(copies);
 }
 
 const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers,
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -286,6 +286,8 @@
     for (const auto it : chosen) {
         if (std::find(m_sources.begin(), m_sources.end(), it) == m_sources.end()) {
             m_source_states[static_cast<std::uint32_t>(it)].chosen_at = now;
+            // The new source does not send its changes before it has a subscription.
+            m_next_subscribe = now;
         }
     }
     m_sources = std::move(chosen);
@@ -296,7 +298,6 @@
     if (now < m_next_subscribe) {
         return;
     }
-    m_next_subscribe = now + subscribe_interval;
     for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
         it = now - it->second.last_message_at > subscriber_timeout ? m_subscribers.erase(it) : std::next(it);
     }
@@ -307,6 +308,7 @@
         }
     }
     choose_sources(now);
+    m_next_subscribe = now + subscribe_interval;
     subscribe(out);
 }
 
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -19,6 +19,9 @@
 /// The routers of the platform, which distribute the clients' flows over the entries, stop sending to an instance
 /// after two failed readiness probes, 500 ms apart.
 constexpr core::milliseconds router_removal_time{1500};
+/// A process that has just started counts as ready while it fetches its view: the routers probe it only twice a second,
+/// and opening packets are kept until the view is there.
+constexpr core::milliseconds readiness_grace{300};
 /// If no packet arrives for this time, the routers have stopped sending to this instance.
 constexpr core::milliseconds drain_quiet_time{300};
 /// Fraction of the grace period after which a drain ends; the rest is left for exiting.
@@ -97,8 +100,8 @@
       m_tick(owner.base(), [this] { on_tick(); }),
       m_admin(owner, process_settings.admin,
               [this](const std::string& path, const auto&) { return handle_request(path); }),
-      m_last_tick(core::clock::now()), m_suspended(suspended_time()), m_log_tokens(log_burst_lines),
-      m_log_refilled_at(m_last_tick)
+      m_started_at(core::clock::now()), m_last_tick(m_started_at), m_suspended(suspended_time()),
+      m_log_tokens(log_burst_lines), m_log_refilled_at(m_last_tick)
 {
     if (process_settings.agent) {
         m_host_address = relay::ipv4_of(process_settings.agent->host);
@@ -218,6 +221,14 @@
     if (change.routes || change.hosts > 0) {
         m_sync.on_change(now, m_actions);
     }
+    if (!m_had_view && m_view.is_ready()) {
+        m_had_view = true;
+        if (m_entry) {
+            m_entry->on_view_ready(now, m_actions);
+        } else {
+            m_agent->on_view_ready(now, m_actions);
+        }
+    }
 }
 
 void relay_task::perform(const relay::fetch_view& value)
@@ -398,7 +409,11 @@
     write_log(log_event::flow_decision, details);
 }
 
-bool relay_task::is_ready() const { return m_view.is_ready() && !m_drain_started_at; }
+bool relay_task::is_ready() const
+{
+    const bool is_starting = core::clock::now() - m_started_at < readiness_grace;
+    return (m_view.is_ready() || is_starting) && !m_drain_started_at;
+}
 
 http_response relay_task::handle_request(const std::string& path)
 {
--- a/tests/support/virtual_clock.hpp
+++ b/tests/support/virtual_clock.hpp
@@ -17,6 +17,9 @@
   public:
     using callback = std::function<void()>;
 
+    /// Not zero, so that time points before the start stay positive.
+    static constexpr core::time_point start{std::chrono::hours(1)};
+
     [[nodiscard]] core::time_point now() const noexcept { return m_now; }
     [[nodiscard]] core::milliseconds elapsed() const
     {
@@ -59,9 +62,6 @@
         }
     };
 
-    /// Not zero, so that time points before the start stay positive.
-    static constexpr core::time_point start{std::chrono::hours(1)};
-
     core::time_point m_now = start;
     std::uint64_t m_sequence = 0;
     std::priority_queue<event> m_events;
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -349,6 +349,22 @@
     EXPECT_GT(value.sync->age(m_now).count(), 500) << "the age of the state is passed on";
 }
 
+// Guards against a process that knows half of the hosts for 500 ms after a common start: hosts register one after the
+// other, and changes come only with a subscription.
+TEST_F(view_sync_test, process_subscribes_to_new_sources_at_once)
+{
+    run(core::milliseconds(2000));
+    auto& newcomer = add_process(ipv4{0x0a010009});
+    actions out;
+    newcomer.sync->on_tick(m_now, out);
+    EXPECT_TRUE(out.empty()) << "no source is known yet";
+    advance(core::milliseconds(20));
+    read(newcomer);
+    advance(core::milliseconds(20));
+    newcomer.sync->on_tick(m_now, out);
+    EXPECT_EQ(out.size(), source_count);
+}
+
 // Guards against decisions on old state by a process that was paused.
 TEST_F(view_sync_test, pause_makes_process_read)
 {
