Halve the calls of the platform on a large fleet

Change: a start reads routes and hosts in one call a page; one reader for 64 hosts of a zone in place of 32, so that the two sources of a process lie in two zones where a zone has one reader; the seeds read while no host is known. A start becomes shorter by a round trip.

Ruled out: starts that ask only seeds first. After a loss of all processes seeds have no view either, and some start 300 ms later than the rest.

--- a/include/daisydoor/relay/packet.hpp
+++ b/include/daisydoor/relay/packet.hpp
@@ -48,6 +48,9 @@
 /// Size of an opening packet in bytes: a header without data.
 constexpr std::size_t opening_packet_size = 32;
 
+/// @brief Whether a 32-bit sequence number is after another one.
+constexpr bool is_after(std::uint32_t a, std::uint32_t b) noexcept { return static_cast<std::int32_t>(a - b) > 0; }
+
 /// @brief Why a packet was sent to the process that handles it.
 enum class packet_path : std::uint8_t
 {
--- a/include/daisydoor/relay/request_profile.hpp
+++ b/include/daisydoor/relay/request_profile.hpp
@@ -21,8 +21,8 @@
 /// Maximum number of routes with a profile; bounds the memory.
 constexpr std::size_t max_profiled_routes = 1024;
 
-/// @brief Learns from the packets that pass an agent how long its host works on a request of each route, and for how
-/// long the clients of a route wait for an answer.
+/// @brief Learns from the packets that pass an agent how long its host works on a request, and for how long the clients
+/// of each route wait for an answer.
 ///
 /// Load pattern: customers whose requests take 15 or 50 ms, and whose clients give up after half a second or after
 /// several. The published timeout of a route is no upper bound of the clients' patience: operators change it while
@@ -32,14 +32,12 @@
   public:
     /// @brief Records an answer.
     /// @param time from the delivery of the request to its answer
-    void on_answer(const flow_key& flow, core::milliseconds time);
+    void on_answer(core::milliseconds time) noexcept;
 
     /// @brief Records that a client still waited at this age of its request.
     void on_client_waits(const flow_key& flow, core::milliseconds age, core::time_point now);
 
-    /// @brief Mean service time of the requests of a flow's route, or of all routes if it has had none.
-    [[nodiscard]] core::milliseconds service_time(const flow_key& flow) const;
-    /// @brief Mean service time over all routes.
+    /// @brief Mean time from the delivery of a request to its answer.
     [[nodiscard]] core::milliseconds service_time() const noexcept;
 
     /// @brief Time for which clients of a flow's route wait for an answer.
@@ -50,18 +48,8 @@
     [[nodiscard]] std::size_t route_count() const noexcept { return m_routes.size(); }
 
   private:
-    /// Moving average; the first answers weigh more, so that a process that has just started learns quickly.
-    struct mean_time
-    {
-        double ms = initial_service_time.count();
-        std::uint32_t answers = 0;
-
-        void add(double value) noexcept;
-    };
-
     struct route_profile
     {
-        mean_time service;
         core::milliseconds patience{0};
         core::milliseconds former_patience{0};
         core::time_point period_started_at;
@@ -69,10 +57,11 @@
 
     /// @brief Identifies the route of a flow.
     static std::uint64_t key_of(const flow_key& flow) noexcept;
-    route_profile& profile_of(const flow_key& flow);
 
     std::unordered_map<std::uint64_t, route_profile> m_routes;
-    mean_time m_service;
+    /// Moving average; the first answers weigh more, so that a process that has just started learns quickly.
+    double m_service_ms = initial_service_time.count();
+    std::uint64_t m_answers = 0;
 };
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -41,11 +41,11 @@
 
 enum class store_call : std::uint8_t
 {
-    read_routes,
-    read_hosts,
+    /// Reads routes and hosts, page by page.
+    read_all,
     watch,
 };
-constexpr std::array<std::string_view, 3> store_call_names{"read_routes", "read_hosts", "watch"};
+constexpr std::array<std::string_view, 2> store_call_names{"read_all", "watch"};
 
 /// @brief How a call of the platform ended.
 enum class store_result : std::uint8_t
@@ -60,8 +60,8 @@
 /// @brief One call to make now.
 struct store_request
 {
-    store_call call = store_call::read_routes;
-    /// Key after which the next page of hosts begins.
+    store_call call = store_call::read_all;
+    /// Key after which the next page begins.
     std::string after;
     /// Revision after which the watch begins.
     relay::revision revision{};
@@ -93,7 +93,7 @@
 
     /// @brief Handles the end of the call in flight.
     /// @param update decoded content if `result` is answered
-    /// @param has_more,last_key whether more pages of hosts follow, and the last key of this page
+    /// @param has_more,last_key whether more pages follow, and the last key of this page
     store_progress on_result(store_result result, fleet_update update, bool has_more, const std::string& last_key,
                              core::time_point now);
 
@@ -118,7 +118,7 @@
     void on_failure(core::time_point now, store_progress& progress);
 
     read_mode m_mode = read_mode::watch;
-    store_call m_next = store_call::read_routes;
+    store_call m_next = store_call::read_all;
     std::string m_after;
     /// Collects the pages of a whole read.
     fleet_update m_whole;
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -32,7 +32,7 @@
 constexpr std::size_t source_count = 2;
 /// Hosts of an availability zone for each further reader, an agent that reads the platform; every zone has at least
 /// one.
-constexpr std::size_t hosts_per_reader = 32;
+constexpr std::size_t hosts_per_reader = 64;
 /// Minimum number of readers in the whole fleet.
 constexpr std::size_t min_readers = 2;
 /// Maximum size of the encoded changes in a datagram, in bytes; larger updates are split.
@@ -43,9 +43,9 @@
 /// @brief Decides which processes read the platform, and from which sources the others get the changes.
 ///
 /// A few agents, the readers, chosen by rendezvous hashing among the hosts of each availability zone, watch the
-/// platform. Every other process subscribes to two of them, and reads the platform itself only if its state was not
-/// confirmed in time. Every hop adds to the age that is sent with the state, so that no process mistakes old state for
-/// new. Uses no sockets or clock.
+/// platform. While no host is known, the seeds do. Every other process subscribes to two of them, and reads the
+/// platform itself only if its state was not confirmed in time. Every hop adds to the age that is sent with the state,
+/// so that no process mistakes old state for new. Uses no sockets or clock.
 class view_sync
 {
   public:
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -12,9 +12,6 @@
 /// Interval at which closed and idle flows are removed; a flow that stays a little longer costs only its memory.
 constexpr core::milliseconds sweep_interval{500};
 
-/// Whether a 32-bit sequence number is after another one.
-bool is_after(std::uint32_t a, std::uint32_t b) noexcept { return static_cast<std::int32_t>(a - b) > 0; }
-
 } // namespace
 
 agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
@@ -232,106 +229,6 @@
     return redirect_flow(opening.flow, bytes, opening.entry, opening.hops, peer, reason, now, out);
 }
 
-void agent_relay::deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
-                          actions& out)
-{
-    record.last_activity_at = now;
-    set_fin_seen(record, record.client_fin || value.fin || value.rst, record.host_fin);
-    const bool ends_waiting_request =
-        (value.rst || is_repeated_end(record, value)) && m_admission.is_waiting(value.flow);
-    if (ends_waiting_request) {
-        set_request_pending(value.flow, record, false, now);
-        record.client_gave_up = true;
-        out.push_back(decision_record{decision::request_dropped, value.flow, {}, 0, load(), "client_left"});
-    }
-    if (record.client_gave_up && !value.rst) {
-        // The client still retransmits the request, which must not run any more.
-        return;
-    }
-    if (may_deliver(record, value, bytes, now, out)) {
-        out.push_back(send_to_host{bytes, value.entry});
-    }
-    if (value.hops > 0 && record.phase == flow_phase::established) {
-        send_flow_found(value.flow, value.entry, out);
-    }
-}
-
-bool agent_relay::is_repeated_end(const flow_record& record, const packet& value) noexcept
-{
-    const std::uint32_t end = value.sequence + value.payload_size;
-    return value.fin && record.client_sequence != 0 && !is_after(end, record.client_sequence);
-}
-
-bool agent_relay::may_deliver(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now,
-                              actions& out)
-{
-    const std::uint32_t end = value.sequence + value.payload_size;
-    const bool is_first = record.client_sequence == 0;
-    const bool is_new = value.payload_size > 0 && (is_first || is_after(end, record.client_sequence));
-    if (is_new) {
-        record.client_sequence = end;
-    } else if (value.payload_size > 0 && record.request_pending) {
-        record_client_waits(value.flow, record, now);
-    }
-    if (m_admission.is_waiting(value.flow)) {
-        // An acknowledgement alone may overtake the request.
-        const bool is_part = value.payload_size > 0 || value.fin;
-        return !is_part || m_admission.on_further_packet(value.flow, value.sequence, bytes, now);
-    }
-    if (!is_new) {
-        return true;
-    }
-    const bool is_further_packet = record.request_pending && !is_first;
-    set_request_pending(value.flow, record, true, now);
-    if (record.in_service) {
-        return true;
-    }
-    if (!is_further_packet && !std::exchange(record.request_dropped, false)) {
-        record.request_sent_at = is_first && record.opened_at != core::time_point{} ? record.opened_at : now;
-    }
-    request_urgency urgency;
-    urgency.sent_at = record.request_sent_at;
-    if (const auto* route = m_view.find_route(value.flow.service, value.flow.service_port)) {
-        urgency.target_latency = route->value.target_latency;
-        urgency.patience = patience_of(value.flow);
-        urgency.priority = route->value.priority;
-    }
-    record.in_service = m_admission.on_request(value.flow, urgency, value.sequence, bytes, slots(), now);
-    record.delivered_at = now;
-    if (!record.in_service) {
-        out.push_back(decision_record{decision::request_waits, value.flow, {}, 0, load(), "slots_busy"});
-    }
-    return record.in_service;
-}
-
-void agent_relay::release_requests(core::time_point now, actions& out)
-{
-    for (auto& request : m_admission.release(slots(), now)) {
-        const auto it = m_flows.find(request.flow);
-        if (it == m_flows.end()) {
-            m_admission.on_request_ended(request.flow);
-            continue;
-        }
-        it->second.in_service = true;
-        it->second.delivered_at = now;
-        for (auto& bytes : request.packets) {
-            out.push_back(send_to_host{{}, it->second.entry, std::move(bytes)});
-        }
-        out.push_back(
-            decision_record{decision::request_released, request.flow, {}, 0, load(), "slot_free", request.waited});
-    }
-    for (const auto& request : m_admission.take_dropped()) {
-        if (const auto it = m_flows.find(request.flow); it != m_flows.end()) {
-            set_request_pending(request.flow, it->second, false, now);
-            // A retransmission, which may have been delayed, is a request again.
-            it->second.client_sequence = request.sequence;
-            it->second.request_dropped = true;
-        }
-        out.push_back(
-            decision_record{decision::request_dropped, request.flow, {}, 0, load(), "client_left", request.waited});
-    }
-}
-
 void agent_relay::on_host_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
 {
     m_resent_openings.clear();
@@ -371,7 +268,7 @@
             record_request_outcome(has_answer, value.rst ? "host_resets" : "host_closes", value.flow, now, out);
         }
         if (record.in_service && value.payload_size > 0) {
-            m_profile.on_answer(value.flow, std::chrono::duration_cast<core::milliseconds>(now - record.delivered_at));
+            m_profile.on_answer(std::chrono::duration_cast<core::milliseconds>(now - record.delivered_at));
             m_admission.set_service_time(m_profile.service_time());
         }
         set_request_pending(value.flow, record, false, now);
--- a/src/relay/store_reader.cpp
+++ b/src/relay/store_reader.cpp
@@ -61,19 +61,18 @@
     m_pause = retry_pause;
     m_due_at = now;
     if (result == store_result::history_lost) {
-        m_next = store_call::read_routes;
+        m_next = store_call::read_all;
         return progress;
     }
     switch (m_next) {
-    case store_call::read_routes:
-        // The pages are no snapshot, since they are read one after the other: the watch continues from the revision of
-        // the first.
-        m_whole = std::move(update);
-        m_after.clear();
-        m_next = store_call::read_hosts;
-        break;
-    case store_call::read_hosts:
-        append(m_whole, std::move(update));
+    case store_call::read_all:
+        if (m_after.empty()) {
+            // The pages are no snapshot, since they are read one after the other: the watch continues from the revision
+            // of the first.
+            m_whole = std::move(update);
+        } else {
+            append(m_whole, std::move(update));
+        }
         m_after = last_key;
         if (!has_more) {
             m_after.clear();
@@ -100,9 +99,7 @@
 void store_reader::on_failure(core::time_point now, store_progress& progress)
 {
     progress.became_unreachable = !std::exchange(m_unreachable, true);
-    if (m_next == store_call::read_hosts) {
-        m_next = store_call::read_routes;
-    }
+    m_after.clear();
     m_due_at = now + m_pause;
     const bool has_no_state = m_revision == relay::revision{};
     const auto limit = has_no_state ? max_start_pause : m_mode == read_mode::watch ? max_retry_pause : max_check_pause;
@@ -123,9 +120,7 @@
     m_in_flight = false;
     m_due_at = now;
     m_pause = retry_pause;
-    if (m_next == store_call::read_hosts) {
-        m_next = store_call::read_routes;
-    }
+    m_after.clear();
 }
 
 } // namespace daisydoor::relay
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -253,7 +253,8 @@
             m_readers.push_back(all[i].agent);
         }
     }
-    m_is_reader = std::find(m_readers.begin(), m_readers.end(), m_self) != m_readers.end();
+    const auto& reading = m_readers.empty() ? m_seeds : m_readers;
+    m_is_reader = std::find(reading.begin(), reading.end(), m_self) != reading.end();
 }
 
 std::vector<ipv4> view_sync::source_candidates() const
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -16,10 +16,8 @@
 std::string path_of(const relay::store_request& request)
 {
     switch (request.call) {
-    case relay::store_call::read_routes:
-        return platform::range_path(platform::store_prefix::routes, "", false);
-    case relay::store_call::read_hosts:
-        return platform::range_path(platform::store_prefix::hosts, request.after, false);
+    case relay::store_call::read_all:
+        return platform::range_path(request.after, false);
     case relay::store_call::watch:
         break;
     }
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -164,9 +164,8 @@
 // Guards against request paths that the store rejects.
 TEST_F(platform_store_test, range_path_and_watch_path_match_store_format)
 {
-    EXPECT_EQ(range_path(store_prefix::hosts, "", false), "/-/kv-range?Prefix=servers/");
-    EXPECT_EQ(range_path(store_prefix::hosts, "servers/i 1", true),
-              "/-/kv-range?Prefix=servers/&after=servers/i%201&StaleOk=1");
+    EXPECT_EQ(range_path("", false), "/-/kv-range?Prefix=");
+    EXPECT_EQ(range_path("servers/i 1", true), "/-/kv-range?Prefix=&after=servers/i%201&StaleOk=1");
     EXPECT_EQ(watch_path(relay::revision{411}, core::milliseconds(1500)), "/-/kv-watch?Prefix=&after=411&WaitMs=1500");
 }
 
--- a/tests/unit/unit-relay-profile.cpp
+++ b/tests/unit/unit-relay-profile.cpp
@@ -14,7 +14,7 @@
     void answer(int requests, core::milliseconds time)
     {
         for (int i = 0; i < requests; ++i) {
-            m_profile.on_answer(make_flow(), time);
+            m_profile.on_answer(time);
         }
     }
 
@@ -82,7 +82,7 @@
     for (std::uint16_t port = 1; port <= max_profiled_routes + 1; ++port) {
         auto flow = make_flow();
         flow.service_port = port;
-        m_profile.on_answer(flow, core::milliseconds(10));
+        m_profile.on_client_waits(flow, core::milliseconds(10), m_now);
     }
     EXPECT_EQ(m_profile.route_count(), 1U);
 }
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -349,6 +349,26 @@
     EXPECT_GT(value.sync->age(m_now).count(), 500) << "the age of the state is passed on";
 }
 
+// Guards against a check of the platform by every process of a fleet whose hosts have not registered yet.
+TEST_F(view_sync_test, only_seeds_read_while_no_host_is_known)
+{
+    m_processes.clear();
+    m_platform = fleet_view{"a"};
+    set_routes(m_platform, {make_route({{"svc", 1}})});
+    for (std::uint32_t n = 1; n <= 6; ++n) {
+        auto& value = add_process(agent_address(n));
+        value.sync =
+            std::make_unique<view_sync>(agent_address(n), std::vector<ipv4>{agent_address(1), agent_address(2)},
+                                        value.view, [](const auto& update) { return encode_update(update).size(); });
+    }
+    run(core::milliseconds(500));
+    m_reads.clear();
+    run(core::milliseconds(5000));
+    EXPECT_EQ(m_reads.size(), 2U);
+    EXPECT_EQ(m_reads.count(agent_address(1)), 1U);
+    EXPECT_EQ(m_reads.count(agent_address(2)), 1U);
+}
+
 // Guards against a process that knows half of the hosts for 500 ms after a common start: hosts register one after the
 // other, and changes come only with a subscription.
 TEST_F(view_sync_test, process_subscribes_to_new_sources_at_once)
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -269,9 +269,9 @@
 
     void read_all()
     {
-        answer(store_call::read_routes, 10);
-        answer(store_call::read_hosts, 12, true);
-        answer(store_call::read_hosts, 14);
+        answer(store_call::read_all, 10, true);
+        answer(store_call::read_all, 12, true);
+        answer(store_call::read_all, 14);
         advance(watch_pause);
     }
 
@@ -292,11 +292,32 @@
     EXPECT_EQ(request->revision, revision{10});
 }
 
+// Guards against a start that costs more than one call of the platform: a kill of all processes of a large fleet made
+// two calls for each of them.
+TEST_F(store_reader_test, start_of_fleet_that_fits_a_page_takes_one_call)
+{
+    answer(store_call::read_all, 10);
+    ASSERT_TRUE(m_progress.update);
+    EXPECT_TRUE(m_progress.update->whole);
+}
+
+// Guards against a view that lacks the first pages because a later one failed.
+TEST_F(store_reader_test, failed_page_starts_read_from_first_page)
+{
+    answer(store_call::read_all, 10, true);
+    EXPECT_EQ(m_reader.next(m_now)->after, "servers/x");
+    m_progress = m_reader.on_result(store_result::failed, {}, false, "", m_now);
+    advance(retry_pause);
+    const auto again = m_reader.next(m_now);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->call, store_call::read_all);
+    EXPECT_TRUE(again->after.empty());
+}
+
 // Guards against a watch by every new process, cancelled as soon as the process learns that others read.
 TEST_F(store_reader_test, whole_read_leaves_time_to_stop_reading)
 {
-    answer(store_call::read_routes, 10);
-    answer(store_call::read_hosts, 10);
+    answer(store_call::read_all, 10);
     EXPECT_FALSE(m_reader.next(m_now));
     m_reader.set_mode(read_mode::off, revision{10}, m_now);
     advance(watch_pause);
@@ -309,7 +330,7 @@
     read_all();
     ASSERT_TRUE(m_reader.next(m_now));
     m_reader.on_result(store_result::history_lost, {}, false, "", m_now);
-    EXPECT_EQ(m_reader.next(m_now)->call, store_call::read_routes);
+    EXPECT_EQ(m_reader.next(m_now)->call, store_call::read_all);
 }
 
 // Guards against many processes that call a failing platform without a pause.
@@ -324,7 +345,7 @@
     advance(retry_pause);
     EXPECT_FALSE(m_reader.next(m_now));
     advance(retry_pause);
-    answer(store_call::read_routes, 1);
+    answer(store_call::read_all, 1);
     EXPECT_TRUE(m_progress.became_reachable);
 }
 
--- /dev/null
+++ b/tests/unit/unit-relay-waiting.cpp
@@ -0,0 +1,83 @@
+#include "agent_relay_fixture.hpp"
+
+#include <algorithm>
+
+namespace daisydoor::relay
+{
+namespace
+{
+
+class waiting_request_test : public agent_relay_test
+{
+  protected:
+    waiting_request_test()
+    {
+        auto value = make_route({{"svc", 1}});
+        value.timeout = core::milliseconds(700);
+        set_routes(m_view, {value});
+        for (std::uint16_t i = 0; i <= m_agent->load().slots + max_requests_beyond_slots; ++i) {
+            m_flow = make_flow(static_cast<std::uint16_t>(40000 + i));
+            open(m_flow);
+            on_packet(request());
+        }
+    }
+
+    packet request() const
+    {
+        auto result = make_packet(m_flow);
+        result.payload_size = 10;
+        return result;
+    }
+
+    bool has_dropped() const
+    {
+        const auto all = emitted<decision_record>();
+        return std::any_of(all.begin(), all.end(),
+                           [](const auto& it) { return it.decision == decision::request_dropped; });
+    }
+
+    /// The flow whose request waits.
+    flow_key m_flow;
+};
+
+// Guards against work for clients that have left: 28 of the requests that waited after an outage had been ended by
+// their clients before, and the clients went on retransmitting them.
+TEST_F(waiting_request_test, end_of_flow_drops_request_for_good)
+{
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+    auto end = make_packet(m_flow);
+    end.sequence += 10;
+    end.fin = true;
+    on_packet(end);
+    EXPECT_TRUE(has_dropped());
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+    auto again = request();
+    again.fin = true;
+    on_packet(again);
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+    tick(core::milliseconds(5000));
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+    auto last = make_packet(m_flow);
+    last.rst = true;
+    on_packet(last);
+    EXPECT_EQ(emitted<send_to_host>().size(), 1U) << "the host may forget the flow";
+    on_host_packet(returned(last));
+    EXPECT_TRUE(emitted<reset_client>().empty()) << "the client has ended the flow itself";
+}
+
+// Guards against an answer that a client gets only after its deadline because the host gets its retransmission before
+// other requests that wait, outside the queue.
+TEST_F(waiting_request_test, retransmission_after_drop_waits_again)
+{
+    tick(core::milliseconds(750));
+    ASSERT_TRUE(has_dropped());
+    const auto others = m_agent->load().in_flight;
+    on_packet(request());
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+    EXPECT_EQ(m_agent->load().in_flight, others + 1);
+    tick(core::milliseconds(100));
+    EXPECT_EQ(emitted<send_to_host>().size(), 1U) << "the requests before it are overdue";
+}
+
+} // namespace
+} // namespace daisydoor::relay
