Serve a flow that uses a client's port again

An opening packet with the addresses and ports of a recorded flow was taken for a copy of the former one, whatever its sequence number. Since requests end with their client's FIN, all packets of the new flow would have been dropped for as long as the record lasted (up to the idle timeout); before that, its requests passed the queue uncounted.

Change: the record keeps the sequence number of its opening packet; one with another number ends the record and is placed as a new flow.

Ruled out: an answer of the former flow at the new one's client. Answers come from the host only, whose sequence numbers are random for each flow.

Measured: waiting_request_test.new_flow_from_same_port_is_served fails without the comparison.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -138,6 +138,8 @@
         ipv4 entry{};
         /// Peer whose host has the flow, or that searches for it.
         ipv4 peer{};
+        /// Sequence number of the opening packet and its copies, if this agent saw one.
+        std::optional<std::uint32_t> opening_sequence;
         /// Sequence number after the client's last data byte so far.
         std::uint32_t client_sequence = 0;
         /// Sequence number after the host's last data byte so far, if any packet of the host was seen.
@@ -189,6 +191,9 @@
 
     void handle(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
     void open(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
+    /// @brief Whether an opening packet begins another flow with the addresses and ports of a recorded one.
+    [[nodiscard]] static bool begins_new_flow(const flow_record& record, const packet& value) noexcept;
+    void forget_flow(flow_map::iterator it, core::time_point now);
     /// @brief Leaves an opening packet to the client's next copy.
     static void decline(const packet& value, const host_load& load, std::string_view reason, actions& out);
     /// @brief Resets a flow that was not opened, and ends its placement at the entry.
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -44,8 +44,12 @@
         on_search(value, bytes, from, now, out);
         return;
     }
-    const auto it = m_flows.find(value.flow);
+    auto it = m_flows.find(value.flow);
     if (value.syn) {
+        if (it != m_flows.end() && begins_new_flow(it->second, value)) {
+            forget_flow(it, now);
+            it = m_flows.end();
+        }
         const bool returned_by_peer =
             it != m_flows.end() && it->second.phase == flow_phase::at_peer && it->second.peer == from;
         if (it != m_flows.end() && it->second.phase != flow_phase::lost && !returned_by_peer) {
@@ -92,6 +96,21 @@
     }
 }
 
+bool agent_relay::begins_new_flow(const flow_record& record, const packet& value) noexcept
+{
+    if (record.opening_sequence) {
+        return *record.opening_sequence != value.sequence;
+    }
+    return record.client_gave_up || (record.client_fin && record.host_fin);
+}
+
+void agent_relay::forget_flow(flow_map::iterator it, core::time_point now)
+{
+    set_request_pending(it->first, it->second, false, now);
+    set_phase(it->second, flow_phase::lost, now);
+    m_flows.erase(it);
+}
+
 void agent_relay::open(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
 {
     const auto* route = m_view.find_route(value.flow.service, value.flow.service_port);
@@ -116,6 +135,7 @@
     if (peer != nullptr) {
         redirect_flow(value.flow, bytes, value.entry, value.hops, peer, load.accepts ? "less_busy" : "own_host_closed",
                       now, out);
+        m_flows[value.flow].opening_sequence = value.sequence;
         if (!is_allowed || m_draining || !m_suspected || now < m_next_probe) {
             return;
         }
@@ -184,6 +204,7 @@
     record.last_activity_at = now;
     record.opened_at = now - age_of_copy(value.acknowledgement);
     record.request_sent_at = record.opened_at;
+    record.opening_sequence = value.sequence;
     // The client sends its request as soon as the flow is open.
     set_request_pending(value.flow, record, true, now);
     opening_record opening;
@@ -290,9 +311,7 @@
     auto& record = it->second;
     if (value.rst || record.client_gave_up) {
         // The client has ended the flow, so that there is nothing to reset.
-        set_request_pending(value.flow, record, false, now);
-        set_phase(record, flow_phase::lost, now);
-        m_flows.erase(it);
+        forget_flow(it, now);
     } else if (record.phase == flow_phase::probing && record.peer != ipv4{}) {
         out.push_back(send_message{record.peer, flow_unknown{value.flow}});
         m_flows.erase(it);
--- a/tests/unit/unit-relay-waiting.cpp
+++ b/tests/unit/unit-relay-waiting.cpp
@@ -65,6 +65,34 @@
     EXPECT_TRUE(emitted<reset_client>().empty()) << "the client has ended the flow itself";
 }
 
+// Guards against a client port that is used again within seconds: the packets of the new flow were dropped like those
+// of the old one, whose client had given up.
+TEST_F(waiting_request_test, new_flow_from_same_port_is_served)
+{
+    auto end = make_packet(m_flow);
+    end.sequence += 10;
+    end.fin = true;
+    on_packet(end);
+    advance(max_service_slot_timeout);
+    auto opening = make_syn(m_flow);
+    opening.sequence = 70'000;
+    on_packet(opening);
+    ASSERT_EQ(emitted<send_to_host>().size(), 1U);
+    on_host_packet(make_syn_ack(m_flow));
+    auto next = request();
+    next.sequence = 70'001;
+    on_packet(next);
+    EXPECT_EQ(emitted<send_to_host>().size(), 1U);
+}
+
+// Guards against copies of an opening packet that are taken for a new flow.
+TEST_F(waiting_request_test, copy_of_opening_packet_keeps_flow)
+{
+    on_packet(make_syn(m_flow, 1));
+    EXPECT_FALSE(has_dropped());
+    EXPECT_TRUE(emitted<decision_record>().empty());
+}
+
 // Guards against an answer that a client gets only after its deadline because the host gets its retransmission before
 // other requests that wait, outside the queue.
 TEST_F(waiting_request_test, retransmission_after_drop_waits_again)
