Keep retransmissions with an end from a host after a drop

Cause, found on reading: when a request was dropped because its client had stopped retransmitting, and the client's FIN was lost, the client's later retransmissions (FIN and request in one packet) were queued as a request again and ran for a client that had left.

Ruled out: treating every retransmission after a drop so; a client whose retransmissions were only delayed must be served.

--- a/src/relay/agent_requests.cpp
+++ b/src/relay/agent_requests.cpp
@@ -12,6 +12,9 @@
     set_fin_seen(record, record.client_fin || value.fin || value.rst, record.host_fin);
     const bool ends_waiting_request =
         (value.rst || is_repeated_end(record, value)) && m_admission.is_waiting(value.flow);
+    if (record.request_dropped && value.fin) {
+        record.client_gave_up = true;
+    }
     if (ends_waiting_request) {
         set_request_pending(value.flow, record, false, now);
         record.client_gave_up = true;
--- a/tests/unit/unit-relay-waiting.cpp
+++ b/tests/unit/unit-relay-waiting.cpp
@@ -65,6 +65,20 @@
     EXPECT_TRUE(emitted<reset_client>().empty()) << "the client has ended the flow itself";
 }
 
+// Guards against work for a client that has left: its end of the flow may be lost before the request is dropped, and
+// its retransmissions carry the request together with the end.
+TEST_F(waiting_request_test, retransmission_with_end_after_drop_is_not_delivered)
+{
+    tick(core::milliseconds(1500));
+    ASSERT_TRUE(has_dropped());
+    auto again = request();
+    again.fin = true;
+    on_packet(again);
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+    tick(max_service_slot_timeout);
+    EXPECT_TRUE(emitted<send_to_host>().empty());
+}
+
 // Guards against a client port that is used again within seconds: the packets of the new flow were dropped like those
 // of the old one, whose client had given up.
 TEST_F(waiting_request_test, new_flow_from_same_port_is_served)
