--- a/tests/support/relay_fleet.cpp
+++ b/tests/support/relay_fleet.cpp
@@ -18,6 +18,9 @@
 constexpr core::milliseconds probe_interval{500};
 constexpr core::milliseconds removal_time{1000};
 constexpr core::milliseconds idle_timeout{12'000};
+/// The first load reports of all agents arrive within this time.
+constexpr core::milliseconds time_to_settle_in{200};
+constexpr std::int64_t first_birth = 1000;
 /// Requests outlive their last attempt by less.
 constexpr core::milliseconds settle_time{30'000};
 
@@ -26,6 +29,27 @@
 } // namespace
 
 relay_fleet::relay_fleet(relay_fleet_options options) : m_options(std::move(options)), m_random(m_options.seed)
+{
+    m_state.revision = relay::revision{1};
+    m_state.whole = true;
+    publish_routes();
+    for (std::uint32_t i = 0; i < m_options.zones * m_options.entries_per_zone; ++i) {
+        add_process(entry_addresses + 1 + i, i % m_options.zones);
+    }
+    for (std::uint32_t i = 0; i < m_options.hosts; ++i) {
+        add_host(i);
+    }
+    for (const auto& it : m_processes) {
+        start(*it, true);
+        it->in_rotation = true;
+    }
+    m_clock.run_for(time_to_settle_in);
+    for (std::size_t i = 0; i < m_options.traffics.size(); ++i) {
+        schedule_arrival(i);
+    }
+}
+
+void relay_fleet::publish_routes()
 {
     relay::route_set routes;
     routes.version = relay::route_version{1};
@@ -42,55 +66,46 @@
         value.services = {{"svc", 1}};
         routes.routes.push_back(value);
     }
-    m_state.revision = relay::revision{1};
-    m_state.whole = true;
     m_state.changes.push_back({m_state.revision, routes});
-    const auto add = [this](std::uint32_t address, std::uint32_t zone) -> process& {
-        auto& added = *m_processes.emplace_back(std::make_unique<process>());
-        added.address = relay::ipv4{address};
-        added.zone = zone;
-        m_by_address[address] = &added;
-        return added;
-    };
-    for (std::uint32_t i = 0; i < m_options.zones * m_options.entries_per_zone; ++i) {
-        add(entry_addresses + 1 + i, i % m_options.zones);
-    }
-    for (std::uint32_t i = 0; i < m_options.hosts; ++i) {
-        auto& added = add(agent_addresses + 1 + i, i % m_options.zones);
-        added.host = std::make_unique<simulated_host>(
-            m_options.host, i + 1, m_clock,
-            [this](const relay::flow_key& flow) {
-                const auto it = m_request_by_flow.find(flow);
-                if (it == m_request_by_flow.end()) {
-                    return core::duration(m_options.traffics.front().mean_work);
-                }
-                it->second->on_run();
-                return it->second->work();
-            },
-            [this, &added](const simulated_packet& packet) {
-                if (added.up) {
-                    const auto bytes = packet.encode();
-                    added.agent->on_host_packet(packet.value, {bytes.data(), bytes.size()}, m_clock.now(), m_actions);
-                    execute(added);
-                }
-            });
-        relay::host published;
-        published.id = "i-" + std::to_string(i);
-        published.service = "svc";
-        published.availability_zone = zone_name(added.zone);
-        published.address = added.address;
-        published.slots = m_options.host.slots;
-        published.born = 1000 + i;
-        m_state.changes.push_back({m_state.revision, published});
-    }
-    for (const auto& it : m_processes) {
-        start(*it, true);
-        it->in_rotation = true;
-    }
-    m_clock.run_for(std::chrono::milliseconds(200));
-    for (std::size_t i = 0; i < m_options.traffics.size(); ++i) {
-        schedule_arrival(i);
-    }
+}
+
+relay_fleet::process& relay_fleet::add_process(std::uint32_t address, std::uint32_t zone)
+{
+    auto& added = *m_processes.emplace_back(std::make_unique<process>());
+    added.address = relay::ipv4{address};
+    added.zone = zone;
+    m_by_address[address] = &added;
+    return added;
+}
+
+void relay_fleet::add_host(std::uint32_t number)
+{
+    auto& added = add_process(agent_addresses + 1 + number, number % m_options.zones);
+    added.host = std::make_unique<simulated_host>(
+        m_options.host, number + 1, m_clock,
+        [this](const relay::flow_key& flow) {
+            const auto it = m_request_by_flow.find(flow);
+            if (it == m_request_by_flow.end()) {
+                return core::duration(m_options.traffics.front().mean_work);
+            }
+            it->second->on_run();
+            return it->second->work();
+        },
+        [this, &added](const simulated_packet& packet) {
+            if (added.up) {
+                const auto bytes = packet.encode();
+                added.agent->on_host_packet(packet.value, {bytes.data(), bytes.size()}, m_clock.now(), m_actions);
+                execute(added);
+            }
+        });
+    relay::host published;
+    published.id = "i-" + std::to_string(number);
+    published.service = "svc";
+    published.availability_zone = zone_name(added.zone);
+    published.address = added.address;
+    published.slots = m_options.host.slots;
+    published.born = first_birth + number;
+    m_state.changes.push_back({m_state.revision, published});
 }
 
 void relay_fleet::start(process& value, bool first)
--- a/tests/support/relay_fleet.hpp
+++ b/tests/support/relay_fleet.hpp
@@ -94,6 +94,9 @@
         std::unique_ptr<simulated_host> host;
     };
 
+    void publish_routes();
+    process& add_process(std::uint32_t address, std::uint32_t zone);
+    void add_host(std::uint32_t number);
     void start(process& value, bool first);
     void give_view(process& value);
     void stop(process& value);
