Log answers of the platform that change nothing, lost history and the store's era

New: events 1109 (older update ignored), 1204 (a watch was refused with 410), 1205 (the era rose), and metrics platform_era, platform_restores, updates_ignored.

The events rule out that readers miss the change: they read the whole state at once after the 410. They ignore it, because their view has a higher revision of the former era.

--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -18,6 +18,12 @@
 {
 };
 
+/// @brief Generation of the platform's store; increases each time the store comes back from an older copy, which gives
+/// out revisions again. 0 if it is not known.
+enum class store_era : std::uint64_t
+{
+};
+
 /// @brief Version of the operator's routes; 0 means that no routes are known.
 enum class route_version : std::uint64_t
 {
@@ -131,6 +137,8 @@
     std::vector<fleet_change> changes;
     /// Values that could not be decoded, with the reason; they change nothing else.
     std::vector<std::string> rejected;
+    /// Era of the store that the revisions belong to.
+    store_era era{};
 };
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -67,6 +67,8 @@
     /// The update has a difference to a version of the routes that the view does not have: the whole state must be
     /// fetched.
     bool needs_whole = false;
+    /// The update is older than the view.
+    bool is_older = false;
 };
 
 /// @brief A process's view of the routes and hosts. Versions and revisions only increase.
--- a/include/daisydoor/runtime/detail/http_client.hpp
+++ b/include/daisydoor/runtime/detail/http_client.hpp
@@ -32,6 +32,8 @@
     std::string path;
     std::vector<std::pair<std::string, std::string>> headers;
     std::vector<std::uint8_t> body;
+    /// Name of the response header that `http_result::version` returns.
+    const char* version_header = "X-Version";
     /// Time limit of the whole exchange; 0 for a stream, which has none.
     core::milliseconds timeout{0};
     /// Set for a stream: receives the status and the content type; returns false to abort the exchange.
@@ -45,7 +47,7 @@
 {
     http_outcome outcome = http_outcome::answered;
     int status = 0;
-    /// Value of the X-Version header, or empty.
+    /// Value of the header that `http_request::version_header` names, or empty.
     std::string version;
     std::vector<std::uint8_t> body;
 };
--- a/include/daisydoor/runtime/detail/relay_task.hpp
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -41,6 +41,7 @@
     void on_fleet_message(const relay::message& message, relay::ipv4 from, core::time_point now);
     void on_fetched(relay::ipv4 from, const http_result& response);
     void handle_view_change(const relay::view_change& change, const std::string& source, core::time_point now);
+    void record_older_update(const relay::fleet_update& value);
     void choose_read_mode(core::time_point now);
     void on_tick();
     void detect_pause(core::time_point now);
@@ -80,6 +81,9 @@
     std::array<std::uint64_t, relay::decision_names.size()> m_decisions{};
     std::uint64_t m_resets = 0;
     std::uint64_t m_malformed_messages = 0;
+    /// Updates from the platform that were older than the view.
+    std::uint64_t m_older_updates = 0;
+    rate_limit m_older_update_log_limit{log_interval_ns};
     metrics m_metrics;
     /// One client for each process from which a fleet view was fetched.
     std::map<relay::ipv4, std::unique_ptr<http_client>> m_fetch_clients;
--- a/include/daisydoor/runtime/detail/store_task.hpp
+++ b/include/daisydoor/runtime/detail/store_task.hpp
@@ -30,6 +30,8 @@
     /// Changes of the platform from reachable to unreachable.
     std::uint64_t outages = 0;
     std::uint64_t rejected_values = 0;
+    /// Returns of the platform from an older copy.
+    std::uint64_t restores = 0;
 };
 
 /// @brief Client of the users' platform store in a relaying process: makes the calls that relay::store_reader requests.
@@ -56,6 +58,7 @@
     void call(const relay::store_request& request);
     void cancel_call();
     void on_http_result(relay::store_call call, const http_result& response);
+    void record_era(relay::store_call call, relay::store_era era, relay::revision at);
     void on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure);
     void collect(collect_metrics& message) const;
 
@@ -67,6 +70,10 @@
     std::uint64_t m_exchange = 0;
     core::time_point m_call_started_at;
     bool m_is_long_poll = false;
+    /// Revision of the watch in flight.
+    relay::revision m_watched_after{};
+    /// Highest era in the platform's answers.
+    relay::store_era m_era{};
     store_counters m_counters;
     handler_ref<platform_update> m_role;
     rate_limit m_reject_log_limit{log_interval_ns};
--- a/include/daisydoor/runtime/events.hpp
+++ b/include/daisydoor/runtime/events.hpp
@@ -52,6 +52,9 @@
     platform_reading,
     view_fetched,
     view_fetch_failed,
+    older_update_ignored,
+    platform_history_lost,
+    platform_restored,
 };
 
 struct log_event_info
@@ -63,7 +66,7 @@
 };
 
 /// @brief Table of all log events; docs/events.md lists the same numbers, severities and texts.
-constexpr std::array<log_event_info, 33> log_events{{
+constexpr std::array<log_event_info, 36> log_events{{
     {1001, severity::info, "process started"},
     {1002, severity::info, "process stopped"},
     {1003, severity::info, "drain started"},
@@ -97,6 +100,9 @@
     {1203, severity::info, "platform read mode changed"},
     {1107, severity::info, "fleet view fetched"},
     {1108, severity::warning, "fleet view could not be fetched"},
+    {1109, severity::warning, "older update of the fleet view ignored"},
+    {1204, severity::info, "platform no longer has the history of a watch"},
+    {1205, severity::warning, "platform was restored from an older copy"},
 }};
 
 constexpr const log_event_info& info_of(log_event value) { return log_events.at(static_cast<std::size_t>(value)); }
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -82,6 +82,7 @@
 view_change fleet_view::apply(const fleet_update& update, core::time_point now)
 {
     view_change result;
+    result.is_older = update.revision < m_revision;
     if (!update.whole && update.revision <= m_revision) {
         return result;
     }
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -196,7 +196,8 @@
         return;
     }
     http_result response{http_outcome::answered, status, {}, {}};
-    if (const char* version = evhttp_find_header(evhttp_request_get_input_headers(request), "X-Version")) {
+    if (const char* version =
+            evhttp_find_header(evhttp_request_get_input_headers(request), http_exchange.request.version_header)) {
         response.version = version;
     }
     evbuffer* input = evhttp_request_get_input_buffer(request);
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -181,7 +181,11 @@
     }
     if (message.update) {
         m_sync.on_confirmed(message.confirmed_at);
-        handle_view_change(m_view.apply(*message.update, now), "platform", now);
+        const auto change = m_view.apply(*message.update, now);
+        if (change.is_older) {
+            record_older_update(*message.update);
+        }
+        handle_view_change(change, "platform", now);
         if (m_agent) {
             m_agent->on_view_confirmed(message.call_started_at, now, m_actions);
         }
@@ -193,6 +197,16 @@
     flush();
 }
 
+void relay_task::record_older_update(const relay::fleet_update& value)
+{
+    ++m_older_updates;
+    write_rate_limited_log(m_older_update_log_limit, log_event::older_update_ignored,
+                           "source=platform era=" + std::to_string(static_cast<std::uint64_t>(value.era)) +
+                               " revision=" + std::to_string(static_cast<std::uint64_t>(value.revision)) +
+                               " changes=" + std::to_string(value.changes.size()) +
+                               " view_revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())));
+}
+
 void relay_task::on_fleet_message(const relay::message& message, relay::ipv4 from, core::time_point now)
 {
     if (const auto* subscribe = std::get_if<relay::fleet_subscribe>(&message)) {
@@ -444,6 +458,7 @@
         {"packets_send_failed", "", static_cast<double>(m_packets.counters().send_failed)},
         {"messages_malformed", "", static_cast<double>(m_malformed_messages)},
         {"resets", "", static_cast<double>(m_resets)},
+        {"updates_ignored", "", static_cast<double>(m_older_updates)},
         {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -24,6 +24,17 @@
     return platform::watch_path(request.revision, request.wait);
 }
 
+template <typename Number>
+std::string number_of(Number value)
+{
+    return std::to_string(static_cast<std::uint64_t>(value));
+}
+
+std::string call_name(relay::store_call call)
+{
+    return std::string(relay::store_call_names.at(static_cast<std::size_t>(call)));
+}
+
 std::string describe(const http_result& response)
 {
     switch (response.outcome) {
@@ -111,6 +122,8 @@
     http_request exchange;
     exchange.path = path_of(request);
     exchange.timeout = request.timeout;
+    exchange.version_header = platform::era_header;
+    m_watched_after = request.revision;
     m_exchange = m_client.start(std::move(exchange), [this, call = request.call](const http_result& response) {
         on_http_result(call, response);
     });
@@ -125,6 +138,8 @@
     platform::store_page page;
     if (response.outcome == http_outcome::answered && response.status == status_gone) {
         result = relay::store_result::history_lost;
+        write_log(log_event::platform_history_lost,
+                  "after=" + number_of(m_watched_after) + " era=" + number_of(platform::decode_era(response.version)));
     } else if (response.outcome == http_outcome::answered && response.status == status_ok) {
         const wire::bytes_view body{response.body.data(), response.body.size()};
         try {
@@ -138,6 +153,10 @@
             failure = e.what();
         }
     }
+    if (response.outcome == http_outcome::answered) {
+        page.update.era = platform::decode_era(response.version);
+        record_era(call, page.update.era, page.update.revision);
+    }
     for (const auto& reason : page.update.rejected) {
         ++m_counters.rejected_values;
         write_rate_limited_log(m_reject_log_limit, log_event::published_value_rejected, reason);
@@ -146,9 +165,22 @@
     start_next_request();
 }
 
+void store_task::record_era(relay::store_call call, relay::store_era era, relay::revision at)
+{
+    if (era <= m_era) {
+        return;
+    }
+    if (m_era != relay::store_era{}) {
+        ++m_counters.restores;
+        write_log(log_event::platform_restored, "era=" + number_of(era) + " former_era=" + number_of(m_era) +
+                                                    " call=" + call_name(call) + " revision=" + number_of(at));
+    }
+    m_era = era;
+}
+
 void store_task::on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure)
 {
-    const auto name = std::string(relay::store_call_names.at(static_cast<std::size_t>(call)));
+    const auto name = call_name(call);
     if (progress.became_unreachable) {
         write_log(log_event::platform_unreachable, "call=" + name + " reason=" + failure);
     }
@@ -166,6 +198,8 @@
     message.samples = {{"platform_reads", "", static_cast<double>(m_counters.calls)},
                        {"platform_outages", "", static_cast<double>(m_counters.outages)},
                        {"platform_values_rejected", "", static_cast<double>(m_counters.rejected_values)},
+                       {"platform_restores", "", static_cast<double>(m_counters.restores)},
+                       {"platform_era", "", static_cast<double>(static_cast<std::uint64_t>(m_era)), false},
                        {"platform_reachable", "", m_reader.is_unreachable() ? 0.0 : 1.0, false}};
 }
 
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -76,6 +76,15 @@
     EXPECT_EQ(value.born, 1700000000000);
 }
 
+// Guards against an era that is taken from a header that is not a number.
+TEST_F(platform_store_test, decode_era_accepts_numbers_only)
+{
+    EXPECT_EQ(decode_era("12"), relay::store_era{12});
+    EXPECT_EQ(decode_era(""), relay::store_era{});
+    EXPECT_EQ(decode_era("12a"), relay::store_era{});
+    EXPECT_EQ(decode_era("-1"), relay::store_era{});
+}
+
 // Guards against routes that are missing or send flows to the wrong service.
 TEST_F(platform_store_test, decode_page_configuration_returns_routes)
 {
