Order the platform's state by era and revision

Cause: a revision was taken for a position in one history for ever. In a new era the store gives revisions out again, so the views ignored the whole state and the changes up to the revision that they had from the former era, and told their subscribers that the state was confirmed.

A position is now an era and a revision. A reader that sees a new era drops what a watch or a later page returned, and reads everything; a view accepts the whole state of a newer era and nothing of a former one; messages between processes carry the era. The log of changes continues from the end of the former era to the new one, so that subscribers get the difference instead of fetching the whole view (fetches stay 0 in new_era_is_told_as_difference). An answer or news of a former era confirms nothing. Routes still only go up by their own version. A process of a build without eras, whose revisions cannot be compared once the era has changed, confirms nothing and fetches the whole view when its revision is lower.

Ruled out: that readers miss the change (they read everything after the 410), and one number made of era and revision: processes of both builds side by side would then lose changes without any restore.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -37,12 +37,16 @@
     flow_key flow;
 };
 
-/// @brief Requests all changes after a revision; repeated for as long as the sender wants updates.
+/// @brief Requests all changes after a position; repeated for as long as the sender wants updates.
 struct fleet_subscribe
 {
     relay::revision revision{};
     /// Number of the sender's question, its request for a confirmation that its view is complete; 0 if it has none.
     std::uint32_t question = 0;
+    /// Era of the revision; 0 also from a process of a build without eras.
+    store_era era{};
+
+    [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
 
 /// @brief Reply to a subscription; sent at once and again on every change.
@@ -61,6 +65,10 @@
     /// Number of the receiver's question that was answered by a call to the platform which began after the question
     /// arrived; 0 if none.
     std::uint32_t answered = 0;
+    /// Era of `after`.
+    store_era after_era{};
+
+    [[nodiscard]] store_position after_position() const noexcept { return {after_era, after}; }
 };
 
 using message = std::variant<host_load, flow_found, flow_unknown, fleet_subscribe, fleet_news>;
--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -24,6 +24,26 @@
 {
 };
 
+/// @brief Position in the history of the platform's store: a revision is comparable only within its era.
+struct store_position
+{
+    store_era era{};
+    relay::revision revision{};
+
+    friend bool operator==(store_position a, store_position b) noexcept
+    {
+        return a.era == b.era && a.revision == b.revision;
+    }
+    friend bool operator!=(store_position a, store_position b) noexcept { return !(a == b); }
+    friend bool operator<(store_position a, store_position b) noexcept
+    {
+        return a.era != b.era ? a.era < b.era : a.revision < b.revision;
+    }
+    friend bool operator<=(store_position a, store_position b) noexcept { return !(b < a); }
+    friend bool operator>(store_position a, store_position b) noexcept { return b < a; }
+    friend bool operator>=(store_position a, store_position b) noexcept { return !(a < b); }
+};
+
 /// @brief Version of the operator's routes; 0 means that no routes are known.
 enum class route_version : std::uint64_t
 {
@@ -51,6 +71,13 @@
     core::milliseconds cold_remaining{0};
     /// Start of this incarnation in Unix milliseconds.
     std::int64_t born = 0;
+
+    friend bool operator==(const host& a, const host& b) noexcept
+    {
+        return a.id == b.id && a.service == b.service && a.availability_zone == b.availability_zone &&
+               a.address == b.address && a.slots == b.slots && a.state == b.state &&
+               a.cold_remaining == b.cold_remaining && a.born == b.born;
+    }
 };
 
 struct weighted_service
@@ -139,6 +166,8 @@
     std::vector<std::string> rejected;
     /// Era of the store that the revisions belong to.
     store_era era{};
+
+    [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -69,9 +69,17 @@
     bool needs_whole = false;
     /// The update is older than the view.
     bool is_older = false;
+    /// The update belongs to an era of the store that is over.
+    bool is_from_former_era = false;
+    /// The view moved on to another era of the store.
+    bool is_new_era = false;
+
+    /// @brief Whether subscribers must be told.
+    [[nodiscard]] bool changes_view() const noexcept { return routes || hosts > 0 || is_new_era; }
 };
 
-/// @brief A process's view of the routes and hosts. Versions and revisions only increase.
+/// @brief A process's view of the routes and hosts. Versions of routes and positions in the store's history only
+/// increase. With a new era of the store, the view continues from the whole state that the store then has.
 ///
 /// Load pattern: the platform may drop the entries of live hosts during an outage. A ready host whose entry disappears
 /// within `lapsed_entry_grace` of the platform's return stays in use until that time is over.
@@ -96,7 +104,12 @@
     /// @brief Whether routes are known; without them no packet can be handled.
     [[nodiscard]] bool is_ready() const noexcept { return m_version != route_version{}; }
     [[nodiscard]] route_version version() const noexcept { return m_version; }
-    [[nodiscard]] relay::revision revision() const noexcept { return m_revision; }
+    [[nodiscard]] relay::revision revision() const noexcept { return m_position.revision; }
+    [[nodiscard]] store_era era() const noexcept { return m_position.era; }
+    /// @brief Position up to which the view has all changes.
+    [[nodiscard]] store_position position() const noexcept { return m_position; }
+    /// @brief Whether the view has followed the store from one era to another.
+    [[nodiscard]] bool has_changed_era() const noexcept { return m_has_changed_era; }
     /// @brief Time after which a flow without packets may be removed.
     [[nodiscard]] core::milliseconds idle_timeout() const noexcept
     {
@@ -126,8 +139,9 @@
     /// @brief The whole state as an update, for a peer without any state.
     [[nodiscard]] fleet_update snapshot() const;
 
-    /// @brief Changes after a revision, or nullopt if the log no longer has them all.
-    [[nodiscard]] std::optional<fleet_update> changes_after(relay::revision after) const;
+    /// @brief Changes after a position, or nullopt if the log does not have them all. The log continues from the end of
+    /// the former era to the present one.
+    [[nodiscard]] std::optional<fleet_update> changes_after(store_position after) const;
 
     /// @brief When the platform last became reachable again, or nullopt if there was no outage.
     [[nodiscard]] std::optional<core::time_point> regained_at() const noexcept { return m_regained_at; }
@@ -139,6 +153,12 @@
     service_index intern(const std::string& name);
     bool apply_host(const host& value, relay::revision at);
     bool apply_removal(const std::string& id, relay::revision at, core::time_point now);
+    /// @brief Whether the first difference of routes applies to a version that the view does not have.
+    [[nodiscard]] bool has_unknown_base(const fleet_update& update) const;
+    /// @brief Moves on to the era of an update, at revision 0.
+    void begin_era(const fleet_update& update);
+    /// @brief Applies one change. @return what it changed
+    view_change apply_change(const fleet_change& change, core::time_point now);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
     [[nodiscard]] std::vector<std::string> hosts_not_named(const fleet_update& whole) const;
     bool apply_routes(const route_set& value, relay::revision at);
@@ -149,7 +169,8 @@
     void index_hosts();
 
     std::string m_own_zone;
-    relay::revision m_revision{};
+    store_position m_position;
+    bool m_has_changed_era = false;
     route_version m_version{};
     relay::revision m_routes_revision{};
     core::milliseconds m_idle_timeout{0};
@@ -163,6 +184,8 @@
     /// Changes after m_log_start, oldest first; bounded.
     std::deque<fleet_change> m_log;
     relay::revision m_log_start{};
+    /// End of the former era, while the log has all changes since.
+    std::optional<store_position> m_former_era_end;
 };
 
 /// Entries that lapsed during an outage of the platform are registered again within about this time (2 s) after its
--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -79,9 +79,14 @@
     bool became_reachable = false;
     /// The platform stopped answering.
     bool became_unreachable = false;
+    /// The answer belongs to an era of the store that is over.
+    bool is_from_former_era = false;
+    /// Era before the store came back from an older copy, if this answer is the first that shows it.
+    std::optional<store_era> restored_from;
 };
 
-/// @brief Decides which call to the platform is next: the whole state once, then watches that continue from it.
+/// @brief Decides which call to the platform is next: the whole state once for each era of the store, then watches that
+/// continue from it.
 ///
 /// Load pattern: many processes read one store that refuses calls above its rate. Each process has one call in flight,
 /// pauses after changes, and backs off after failures. Uses no sockets or clock.
@@ -92,14 +97,15 @@
     std::optional<store_request> next(core::time_point now);
 
     /// @brief Handles the end of the call in flight.
-    /// @param update decoded content if `result` is answered
+    /// @param update decoded content if `result` is answered; its era if the platform answered at all. An answer
+    /// without an era belongs to the present one.
     /// @param has_more,last_key whether more pages follow, and the last key of this page
     store_progress on_result(store_result result, fleet_update update, bool has_more, const std::string& last_key,
                              core::time_point now);
 
     /// @brief Changes the read mode.
-    /// @param known_revision revision up to which the process has all changes; 0 if it has no state
-    void set_mode(read_mode mode, relay::revision known_revision, core::time_point now) noexcept;
+    /// @param known position up to which the process has all changes; 0 if it has no state
+    void set_mode(read_mode mode, store_position known, core::time_point now) noexcept;
 
     [[nodiscard]] read_mode mode() const noexcept { return m_mode; }
 
@@ -113,16 +119,22 @@
     /// @brief When next() may return a call; only meaningful if none is in flight.
     [[nodiscard]] core::time_point due_at() const noexcept { return m_due_at; }
     [[nodiscard]] bool is_unreachable() const noexcept { return m_unreachable; }
+    /// @brief Highest era that is known.
+    [[nodiscard]] store_era era() const noexcept { return m_position.era; }
 
   private:
     void on_failure(core::time_point now, store_progress& progress);
+    /// @brief Handles the era of an answer.
+    /// @return whether the content of the answer can be used
+    bool accept_era(fleet_update& update, store_progress& progress);
 
     read_mode m_mode = read_mode::watch;
     store_call m_next = store_call::read_all;
     std::string m_after;
     /// Collects the pages of a whole read.
     fleet_update m_whole;
-    relay::revision m_revision{};
+    /// Position from which the next watch continues.
+    store_position m_position;
     bool m_in_flight = false;
     bool m_check_once = false;
     bool m_unreachable = false;
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -65,6 +65,9 @@
     /// @brief Records that the platform answered at `at`; the view is complete up to then.
     void on_confirmed(core::time_point at) noexcept;
 
+    /// @brief Applies state that the platform returned at `at`. It confirms the view unless it is from a former era.
+    view_change on_platform_state(const fleet_update& value, core::time_point at, core::time_point now);
+
     /// @brief Handles a pause of the process: its state no longer counts as confirmed.
     void on_pause() noexcept { m_confirmed_at.reset(); }
 
@@ -110,9 +113,9 @@
   private:
     struct subscriber
     {
-        relay::revision revision{};
+        store_position position;
         core::time_point last_message_at;
-        /// Was told to fetch the whole view; its next subscription has the revision that it fetched.
+        /// Was told to fetch the whole view; its next subscription has the position that it fetched.
         bool awaits_fetch = false;
         std::uint32_t question = 0;
         /// When the question arrived, if it is not answered yet.
@@ -126,10 +129,14 @@
         core::time_point avoid_until;
     };
 
+    /// @brief Whether the position of a process of a build without eras cannot be compared with the view's.
+    [[nodiscard]] bool is_incomparable(store_position position) const noexcept;
     void choose_readers();
     void choose_sources(core::time_point now);
     void subscribe(actions& out) const;
     void send_changes(ipv4 to, subscriber& subscription, std::uint32_t answered, core::time_point now, actions& out);
+    /// @brief Whether the sender's confirmation by the platform also holds for this process's view.
+    [[nodiscard]] bool is_complete_for(const fleet_news& value) const noexcept;
     void complete_confirmation(const fleet_news& value);
     /// @return an empty list if the update must be fetched
     [[nodiscard]] std::vector<fleet_update> split(fleet_update value) const;
--- a/include/daisydoor/runtime/detail/relay_task.hpp
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -41,6 +41,8 @@
     void on_fleet_message(const relay::message& message, relay::ipv4 from, core::time_point now);
     void on_fetched(relay::ipv4 from, const http_result& response);
     void handle_view_change(const relay::view_change& change, const std::string& source, core::time_point now);
+    /// @brief Applies state that the platform returned.
+    void on_platform_state(const relay::fleet_update& value, const platform_update& message, core::time_point now);
     void record_older_update(const relay::fleet_update& value);
     void choose_read_mode(core::time_point now);
     void on_tick();
--- a/include/daisydoor/runtime/detail/store_task.hpp
+++ b/include/daisydoor/runtime/detail/store_task.hpp
@@ -16,7 +16,7 @@
 struct platform_update
 {
     std::optional<relay::fleet_update> update;
-    /// Whether the platform was unreachable before this call.
+    /// Whether the platform was unreachable before this call, or returned from an older copy.
     bool became_reachable = false;
     /// When the platform's response was received.
     core::time_point confirmed_at;
@@ -43,8 +43,8 @@
     void start() override;
 
     /// @brief Sets whether this process watches the platform, reads it once or not at all.
-    /// @param known_revision revision of the state that the process already has
-    void set_mode(relay::read_mode mode, relay::revision known_revision);
+    /// @param known position of the state that the process already has
+    void set_mode(relay::read_mode mode, relay::store_position known);
 
     /// @brief Reads changes now; a waiting watch is cancelled first.
     void check_now();
@@ -58,7 +58,6 @@
     void call(const relay::store_request& request);
     void cancel_call();
     void on_http_result(relay::store_call call, const http_result& response);
-    void record_era(relay::store_call call, relay::store_era era, relay::revision at);
     void on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure);
     void collect(collect_metrics& message) const;
 
@@ -72,8 +71,6 @@
     bool m_is_long_poll = false;
     /// Revision of the watch in flight.
     relay::revision m_watched_after{};
-    /// Highest era in the platform's answers.
-    relay::store_era m_era{};
     store_counters m_counters;
     handler_ref<platform_update> m_role;
     rate_limit m_reject_log_limit{log_interval_ns};
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -102,7 +102,7 @@
         changes.push_back(pack(builder, it));
     }
     return wire::Createfleet_update(builder, static_cast<std::uint64_t>(value.revision), value.whole,
-                                    builder.CreateVector(changes));
+                                    builder.CreateVector(changes), static_cast<std::uint64_t>(value.era));
 }
 
 host from_wire(const wire::fleet_host& value)
@@ -163,6 +163,7 @@
     fleet_update result;
     result.revision = revision{value.revision()};
     result.whole = value.whole();
+    result.era = store_era{value.era()};
     for (const auto* it : *value.changes()) {
         fleet_change change;
         change.revision = revision{it->revision()};
@@ -221,14 +222,15 @@
         body = wire::Createflow_unknown(builder, &flow).Union();
     } else if (const auto* subscribe = std::get_if<fleet_subscribe>(&value)) {
         type = wire::relay_body::fleet_subscribe;
-        body =
-            wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision), subscribe->question)
-                .Union();
+        body = wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision),
+                                           subscribe->question, static_cast<std::uint64_t>(subscribe->era))
+                   .Union();
     } else if (const auto* news = std::get_if<fleet_news>(&value)) {
         type = wire::relay_body::fleet_news;
         const auto update = pack(builder, news->update);
         body = wire::Createfleet_news(builder, to_wire(news->age), to_wire(news->regained),
-                                      static_cast<std::uint64_t>(news->after), news->fetch, update, news->answered)
+                                      static_cast<std::uint64_t>(news->after), news->fetch, update, news->answered,
+                                      static_cast<std::uint64_t>(news->after_era))
                    .Union();
     }
     builder.Finish(wire::Createrelay_message(builder, type, body));
@@ -255,7 +257,7 @@
         return flow_unknown{from_wire(*unknown->flow())};
     }
     if (const auto* subscribe = root->body_as_fleet_subscribe()) {
-        return fleet_subscribe{revision{subscribe->revision()}, subscribe->question()};
+        return fleet_subscribe{revision{subscribe->revision()}, subscribe->question(), store_era{subscribe->era()}};
     }
     if (const auto* news = root->body_as_fleet_news()) {
         return fleet_news{core::milliseconds(news->age_ms()),
@@ -263,7 +265,8 @@
                           revision{news->after()},
                           news->fetch(),
                           from_wire(*news->update()),
-                          news->answered()};
+                          news->answered(),
+                          store_era{news->after_era()}};
     }
     return std::nullopt;
 }
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -79,11 +79,54 @@
     return m_service_indices.emplace(name, next).first->second;
 }
 
+view_change fleet_view::apply_change(const fleet_change& change, core::time_point now)
+{
+    view_change result;
+    if (const auto* it = std::get_if<host>(&change.value)) {
+        result.hosts = apply_host(*it, change.revision) ? 1 : 0;
+    } else if (const auto* removal = std::get_if<host_removed>(&change.value)) {
+        result.hosts = apply_removal(removal->id, change.revision, now) ? 1 : 0;
+    } else if (const auto* routes = std::get_if<route_set>(&change.value)) {
+        result.routes = apply_routes(*routes, change.revision);
+    } else if (const auto* delta = std::get_if<route_delta>(&change.value)) {
+        result.routes = apply_delta(*delta, change.revision);
+        result.needs_whole = !result.routes && delta->version > m_version;
+    }
+    return result;
+}
+
+bool fleet_view::has_unknown_base(const fleet_update& update) const
+{
+    for (const auto& it : update.changes) {
+        if (const auto* delta = std::get_if<route_delta>(&it.value)) {
+            return delta->base != m_version && delta->version > m_version;
+        }
+    }
+    return false;
+}
+
+void fleet_view::begin_era(const fleet_update& update)
+{
+    m_has_changed_era = m_position != store_position{};
+    if (m_has_changed_era) {
+        m_former_era_end = m_position;
+    }
+    m_log.clear();
+    m_log_start = update.revision;
+    // Revisions of the former era say nothing about the order of changes in this one.
+    for (auto& [id, entry] : m_hosts) {
+        entry.revision = relay::revision{};
+    }
+    m_position = {update.era, relay::revision{}};
+}
+
 view_change fleet_view::apply(const fleet_update& update, core::time_point now)
 {
     view_change result;
-    result.is_older = update.revision < m_revision;
-    if (!update.whole && update.revision <= m_revision) {
+    const auto position = update.position();
+    result.is_older = position < m_position;
+    result.is_from_former_era = update.era < m_position.era;
+    if (result.is_from_former_era || (!update.whole && position <= m_position)) {
         return result;
     }
     const auto version_before = m_version;
@@ -91,22 +134,30 @@
         return std::holds_alternative<route_set>(it.value);
     });
     const auto routes_before = has_routes ? sorted_routes() : std::vector<route>();
-    // The state is complete up to m_revision: an older change is a duplicate, or was replaced since.
-    const bool is_newer_whole = update.whole && update.revision >= m_revision;
+    const bool is_first = m_position == store_position{};
+    if (update.era > m_position.era && has_unknown_base(update)) {
+        result.needs_whole = true;
+        return result;
+    }
+    if (update.era > m_position.era) {
+        begin_era(update);
+        result.is_new_era = !is_first;
+    }
+    // The state is complete up to m_position: an older change is a duplicate, or was replaced since.
+    const bool is_newer_whole = update.whole && position >= m_position;
+    std::vector<fleet_change> applied;
     for (const auto& change : update.changes) {
-        if (!is_newer_whole && change.revision <= m_revision) {
+        if (!is_newer_whole && change.revision <= m_position.revision) {
             continue;
         }
-        if (const auto* it = std::get_if<host>(&change.value)) {
-            result.hosts += apply_host(*it, change.revision) ? 1 : 0;
-        } else if (const auto* removal = std::get_if<host_removed>(&change.value)) {
-            result.hosts += apply_removal(removal->id, change.revision, now) ? 1 : 0;
-        } else if (const auto* routes = std::get_if<route_set>(&change.value)) {
-            result.routes = apply_routes(*routes, change.revision) || result.routes;
-        } else if (const auto* delta = std::get_if<route_delta>(&change.value)) {
-            const bool applied = apply_delta(*delta, change.revision);
-            result.routes = applied || result.routes;
-            result.needs_whole = result.needs_whole || (!applied && delta->version > m_version);
+        const auto effect = apply_change(change, now);
+        result.hosts += effect.hosts;
+        result.routes = result.routes || effect.routes;
+        result.needs_whole = result.needs_whole || effect.needs_whole;
+        if (result.is_new_era && effect.changes_view()) {
+            // Subscribers get the difference between the eras at once.
+            applied.push_back(
+                {std::max(change.revision, update.whole ? update.revision : relay::revision{}), change.value});
         }
     }
     std::vector<fleet_change> removals;
@@ -117,14 +168,14 @@
         }
     }
     if (!result.needs_whole) {
-        if (m_revision == relay::revision{}) {
+        if (is_first) {
             // The log starts after the first update.
             m_log_start = update.revision;
         } else {
-            append_to_log(update.changes, version_before, routes_before);
+            append_to_log(result.is_new_era ? applied : update.changes, version_before, routes_before);
             std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
         }
-        m_revision = std::max(m_revision, update.revision);
+        m_position = std::max(m_position, position);
     }
     if (result.hosts > 0) {
         index_hosts();
@@ -154,7 +205,7 @@
 {
     std::vector<const fleet_change*> newer;
     for (const auto& change : changes) {
-        if (change.revision > m_revision) {
+        if (change.revision > m_position.revision) {
             newer.push_back(&change);
         }
     }
@@ -169,20 +220,25 @@
         }
     }
     while (m_log.size() > max_logged_changes) {
-        m_log_start = m_log.front().revision;
+        m_log_start = std::max(m_log_start, m_log.front().revision);
         m_log.pop_front();
+        m_former_era_end.reset();
     }
 }
 
-std::optional<fleet_update> fleet_view::changes_after(relay::revision after) const
+std::optional<fleet_update> fleet_view::changes_after(store_position after) const
 {
-    if (after < m_log_start || after > m_revision) {
+    const bool is_former_end = m_former_era_end && after == *m_former_era_end;
+    const bool is_logged =
+        after.era == m_position.era && after.revision >= m_log_start && after.revision <= m_position.revision;
+    if (!is_former_end && !is_logged) {
         return std::nullopt;
     }
     fleet_update result;
-    result.revision = m_revision;
+    result.era = m_position.era;
+    result.revision = m_position.revision;
     std::copy_if(m_log.begin(), m_log.end(), std::back_inserter(result.changes),
-                 [after](const fleet_change& it) { return it.revision > after; });
+                 [&](const fleet_change& it) { return is_former_end || it.revision > after.revision; });
     return result;
 }
 
@@ -229,6 +285,10 @@
     if (!added && at < entry.revision) {
         return false;
     }
+    if (!added && entry.value == value && !entry.grace_ends_at) {
+        entry.revision = at;
+        return false;
+    }
     entry.value = value;
     entry.revision = at;
     entry.service = intern(value.service);
@@ -364,7 +424,8 @@
 fleet_update fleet_view::snapshot() const
 {
     fleet_update result;
-    result.revision = m_revision;
+    result.era = m_position.era;
+    result.revision = m_position.revision;
     result.whole = true;
     for (const auto& [id, entry] : m_hosts) {
         result.changes.push_back({entry.revision, entry.value});
--- a/src/relay/store_reader.cpp
+++ b/src/relay/store_reader.cpp
@@ -27,10 +27,10 @@
     const bool waits = m_mode == read_mode::watch && !m_check_once;
     const auto wait = m_next != store_call::watch ? core::milliseconds(0) : waits ? watch_wait : check_wait;
     m_check_once = m_check_once && m_next != store_call::watch;
-    return store_request{m_next, m_after, m_revision, wait, wait + answer_timeout};
+    return store_request{m_next, m_after, m_position.revision, wait, wait + answer_timeout};
 }
 
-void store_reader::set_mode(read_mode mode, relay::revision known_revision, core::time_point now) noexcept
+void store_reader::set_mode(read_mode mode, store_position known, core::time_point now) noexcept
 {
     if (mode == m_mode) {
         return;
@@ -41,19 +41,40 @@
         return;
     }
     m_due_at = m_unreachable ? m_due_at : now;
-    if (known_revision > m_revision) {
-        // Other processes sent all changes up to this revision.
-        m_revision = known_revision;
+    if (known > m_position) {
+        // Other processes sent all changes up to this position.
+        m_position = known;
         m_next = store_call::watch;
+        m_after.clear();
     }
 }
 
+bool store_reader::accept_era(fleet_update& update, store_progress& progress)
+{
+    if (update.era == store_era{}) {
+        update.era = m_position.era;
+    }
+    progress.is_from_former_era = update.era < m_position.era;
+    if (update.era <= m_position.era) {
+        return !progress.is_from_former_era;
+    }
+    if (m_position.era != store_era{}) {
+        progress.restored_from = m_position.era;
+    }
+    const bool begins_read = m_next == store_call::read_all && m_after.empty();
+    m_position = {update.era, relay::revision{}};
+    m_next = store_call::read_all;
+    m_after.clear();
+    return begins_read;
+}
+
 store_progress store_reader::on_result(store_result result, fleet_update update, bool has_more,
                                        const std::string& last_key, core::time_point now)
 {
     m_in_flight = false;
     store_progress progress;
-    if (result == store_result::failed) {
+    const bool is_usable = result != store_result::failed && accept_era(update, progress);
+    if (result == store_result::failed || progress.is_from_former_era) {
         on_failure(now, progress);
         return progress;
     }
@@ -64,6 +85,9 @@
         m_next = store_call::read_all;
         return progress;
     }
+    if (!is_usable) {
+        return progress;
+    }
     switch (m_next) {
     case store_call::read_all:
         if (m_after.empty()) {
@@ -77,7 +101,7 @@
         if (!has_more) {
             m_after.clear();
             m_whole.whole = true;
-            m_revision = m_whole.revision;
+            m_position = m_whole.position();
             m_next = store_call::watch;
             // Most processes get later changes from others, and learn only from this view that they do: the pause lets
             // them stop reading before a watch starts.
@@ -86,7 +110,7 @@
         }
         break;
     case store_call::watch:
-        m_revision = std::max(m_revision, update.revision);
+        m_position = std::max(m_position, update.position());
         if (!update.changes.empty() || !update.rejected.empty()) {
             m_due_at = now + watch_pause;
         }
@@ -101,7 +125,7 @@
     progress.became_unreachable = !std::exchange(m_unreachable, true);
     m_after.clear();
     m_due_at = now + m_pause;
-    const bool has_no_state = m_revision == relay::revision{};
+    const bool has_no_state = m_position == store_position{};
     const auto limit = has_no_state ? max_start_pause : m_mode == read_mode::watch ? max_retry_pause : max_check_pause;
     m_pause = std::min(m_pause * 2, limit);
 }
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -62,10 +62,22 @@
     m_confirmed_at = m_confirmed_at ? std::max(*m_confirmed_at, at) : at;
 }
 
+view_change view_sync::on_platform_state(const fleet_update& value, core::time_point at, core::time_point now)
+{
+    const auto result = m_view.apply(value, now);
+    if (!result.is_from_former_era) {
+        on_confirmed(at);
+    }
+    return result;
+}
+
 void view_sync::on_subscribe(ipv4 from, const fleet_subscribe& value, core::time_point now, actions& out)
 {
     auto& subscription = m_subscribers[static_cast<std::uint32_t>(from)];
-    subscription.revision = value.revision;
+    subscription.position = value.position();
+    if (value.era == store_era{} && !m_view.has_changed_era()) {
+        subscription.position.era = m_view.era();
+    }
     subscription.last_message_at = now;
     subscription.awaits_fetch = false;
     if (m_is_reader && value.question != 0 && (value.question != subscription.question || !subscription.asked_at)) {
@@ -86,17 +98,25 @@
     if (const auto at = m_view.regained_at()) {
         news.regained = std::min(max_age, std::chrono::duration_cast<core::milliseconds>(now - *at));
     }
-    news.after = subscription.revision;
+    news.after = subscription.position.revision;
+    news.after_era = subscription.position.era;
     std::vector<fleet_update> parts;
-    if (subscription.revision < m_view.revision()) {
-        if (auto update = m_view.changes_after(subscription.revision)) {
+    if (is_incomparable(subscription.position)) {
+        // Such a process can only use a whole view with a higher revision than its own.
+        news.fetch = subscription.position.revision < m_view.revision();
+        news.age = max_age;
+        subscription.awaits_fetch = true;
+    } else if (subscription.position < m_view.position()) {
+        if (auto update = m_view.changes_after(subscription.position)) {
             parts = split(std::move(*update));
         }
         news.fetch = parts.empty();
         subscription.awaits_fetch = news.fetch;
     }
     if (parts.empty()) {
-        parts.emplace_back().revision = m_view.revision();
+        auto& part = parts.emplace_back();
+        part.revision = m_view.revision();
+        part.era = m_view.era();
     }
     for (auto& part : parts) {
         // The state is complete only with the last part.
@@ -105,16 +125,22 @@
         message.age = is_last ? news.age : max_age;
         message.answered = is_last && !news.fetch ? answered : 0;
         news.after = part.revision;
+        news.after_era = part.era;
         message.update = std::move(part);
         out.push_back(send_message{to, std::move(message)});
     }
-    if (!news.fetch) {
-        // If a datagram is lost, the next subscription has the revision that the subscriber really has, and the
+    if (!subscription.awaits_fetch) {
+        // If a datagram is lost, the next subscription has the position that the subscriber really has, and the
         // missing changes are sent again.
-        subscription.revision = std::max(subscription.revision, m_view.revision());
+        subscription.position = std::max(subscription.position, m_view.position());
     }
 }
 
+bool view_sync::is_incomparable(store_position position) const noexcept
+{
+    return position.era == store_era{} && m_view.era() != store_era{} && m_view.has_changed_era();
+}
+
 std::vector<fleet_update> view_sync::split(fleet_update value) const
 {
     std::vector<fleet_update> result(1);
@@ -122,6 +148,7 @@
     for (auto it = value.changes.begin(); it != value.changes.end();) {
         // Changes of one revision stay together: a receiver applies a revision as a whole.
         fleet_update group;
+        group.era = value.era;
         group.revision = it->revision;
         for (; it != value.changes.end() && it->revision == group.revision; ++it) {
             group.changes.push_back(std::move(*it));
@@ -137,9 +164,11 @@
         bytes += size;
         auto& part = result.back();
         part.revision = group.revision;
+        part.era = value.era;
         std::move(group.changes.begin(), group.changes.end(), std::back_inserter(part.changes));
     }
     result.back().revision = value.revision;
+    result.back().era = value.era;
     return result.size() <= max_update_datagrams ? result : std::vector<fleet_update>();
 }
 
@@ -150,29 +179,37 @@
         m_view.on_platform_regained(now - value.regained);
     }
     view_change result;
-    const bool is_behind = value.update.revision > m_view.revision();
-    if (is_behind && !value.fetch && value.after <= m_view.revision()) {
+    const bool is_behind = value.update.position() > m_view.position();
+    const auto after = value.after_position();
+    // The difference between two eras applies only to the end of the former one.
+    const bool is_applicable =
+        value.update.era == m_view.era() ? after <= m_view.position() : after == m_view.position();
+    if (is_behind && !value.fetch && is_applicable) {
         result = m_view.apply(value.update, now);
     }
-    // A source that sends an older revision has not received the subscription after the latest fetch yet.
-    const bool must_fetch = value.fetch && value.after >= m_view.revision();
+    // A source that sends an older position has not received the subscription after the latest fetch yet.
+    const bool must_fetch = value.fetch && after >= m_view.position();
     if (is_behind && (must_fetch || result.needs_whole) && !m_fetching) {
         m_fetching = true;
         out.push_back(fetch_view{from});
-    } else if (is_behind && value.fetch && !must_fetch) {
+    } else if (is_behind && ((value.fetch && !must_fetch) || (!value.fetch && !is_applicable))) {
         m_next_subscribe = now;
     }
-    if (value.update.revision <= m_view.revision() && value.age < max_age) {
+    if (is_complete_for(value) && value.age < max_age) {
         on_confirmed(now - value.age);
     }
     complete_confirmation(value);
     return result;
 }
 
+bool view_sync::is_complete_for(const fleet_news& value) const noexcept
+{
+    return value.update.era == m_view.era() && value.update.revision <= m_view.revision();
+}
+
 void view_sync::complete_confirmation(const fleet_news& value)
 {
-    const bool is_complete = value.update.revision <= m_view.revision();
-    if (is_complete && m_question_at && value.answered == question_number_at(*m_question_at)) {
+    if (is_complete_for(value) && m_question_at && value.answered == question_number_at(*m_question_at)) {
         m_confirmed_since = std::exchange(m_question_at, std::nullopt);
     }
 }
@@ -184,7 +221,8 @@
     }
     if (!m_question_at) {
         m_question_at = now;
-        out.push_back(send_message{m_sources.front(), fleet_subscribe{m_view.revision(), question_number_at(now)}});
+        out.push_back(
+            send_message{m_sources.front(), fleet_subscribe{m_view.revision(), question_number_at(now), m_view.era()}});
     }
     return now - *m_question_at > question_timeout;
 }
@@ -221,7 +259,7 @@
     choose_readers();
     choose_sources(now);
     for (auto& [address, subscription] : m_subscribers) {
-        if (subscription.revision < m_view.revision() && !subscription.awaits_fetch) {
+        if (subscription.position < m_view.position() && !subscription.awaits_fetch) {
             send_changes(ipv4{address}, subscription, 0, now, out);
         }
     }
@@ -316,7 +354,7 @@
 void view_sync::subscribe(actions& out) const
 {
     for (const auto it : m_sources) {
-        out.push_back(send_message{it, fleet_subscribe{m_view.revision()}});
+        out.push_back(send_message{it, fleet_subscribe{m_view.revision(), 0, m_view.era()}});
     }
 }
 
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -180,23 +180,31 @@
         m_view.on_platform_regained(now);
     }
     if (message.update) {
-        m_sync.on_confirmed(message.confirmed_at);
-        const auto change = m_view.apply(*message.update, now);
-        if (change.is_older) {
-            record_older_update(*message.update);
-        }
-        handle_view_change(change, "platform", now);
-        if (m_agent) {
-            m_agent->on_view_confirmed(message.call_started_at, now, m_actions);
-        }
-        m_sync.on_platform_answer(message.call_started_at, now, m_actions);
-        m_next_platform_check_at = now + platform_check_interval;
+        on_platform_state(*message.update, message, now);
     }
     choose_read_mode(now);
     execute();
     flush();
 }
 
+void relay_task::on_platform_state(const relay::fleet_update& value, const platform_update& message,
+                                   core::time_point now)
+{
+    const auto change = m_sync.on_platform_state(value, message.confirmed_at, now);
+    if (change.is_older) {
+        record_older_update(value);
+    }
+    if (change.is_from_former_era) {
+        return;
+    }
+    handle_view_change(change, "platform", now);
+    if (m_agent) {
+        m_agent->on_view_confirmed(message.call_started_at, now, m_actions);
+    }
+    m_sync.on_platform_answer(message.call_started_at, now, m_actions);
+    m_next_platform_check_at = now + platform_check_interval;
+}
+
 void relay_task::record_older_update(const relay::fleet_update& value)
 {
     ++m_older_updates;
@@ -204,6 +212,7 @@
                            "source=platform era=" + std::to_string(static_cast<std::uint64_t>(value.era)) +
                                " revision=" + std::to_string(static_cast<std::uint64_t>(value.revision)) +
                                " changes=" + std::to_string(value.changes.size()) +
+                               " view_era=" + std::to_string(static_cast<std::uint64_t>(m_view.era())) +
                                " view_revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())));
 }
 
@@ -221,7 +230,8 @@
 
 void relay_task::handle_view_change(const relay::view_change& change, const std::string& source, core::time_point now)
 {
-    const std::string origin = " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())) +
+    const std::string origin = " era=" + std::to_string(static_cast<std::uint64_t>(m_view.era())) +
+                               " revision=" + std::to_string(static_cast<std::uint64_t>(m_view.revision())) +
                                " source=" + source + " age_ms=" + std::to_string(m_sync.age(now).count());
     if (change.routes) {
         write_log(log_event::routes_accepted,
@@ -232,7 +242,7 @@
         write_log(log_event::hosts_changed, "changed=" + std::to_string(change.hosts) +
                                                 " hosts=" + std::to_string(m_view.hosts().size()) + origin);
     }
-    if (change.routes || change.hosts > 0) {
+    if (change.changes_view()) {
         m_sync.on_change(now, m_actions);
     }
     if (!m_had_view && m_view.is_ready()) {
@@ -283,7 +293,7 @@
     const auto mode = m_sync.is_reader() || !m_view.is_ready() ? relay::read_mode::watch
                       : m_sync.should_read(now) || needs_check ? relay::read_mode::check
                                                                : relay::read_mode::off;
-    m_store.set_mode(mode, m_view.is_ready() ? m_view.revision() : relay::revision{});
+    m_store.set_mode(mode, m_view.is_ready() ? m_view.position() : relay::store_position{});
     if (needs_check && mode == relay::read_mode::watch) {
         m_store.check_now();
     }
@@ -482,6 +492,7 @@
     result["name"] = m_settings.name;
     result["role"] = relay_role_names.at(static_cast<std::size_t>(m_settings.role));
     result["version"] = static_cast<std::uint64_t>(m_view.version());
+    result["era"] = static_cast<std::uint64_t>(m_view.era());
     result["revision"] = static_cast<std::uint64_t>(m_view.revision());
     result["flows"] = m_entry ? m_entry->flow_count() : m_agent->flow_count();
     for (const auto& [id, entry] : m_view.hosts()) {
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -91,15 +91,15 @@
     }
 }
 
-void store_task::set_mode(relay::read_mode mode, relay::revision known_revision)
+void store_task::set_mode(relay::read_mode mode, relay::store_position known)
 {
     if (mode == m_reader.mode()) {
         return;
     }
     write_log(log_event::platform_reading,
               "mode=" + std::string(relay::read_mode_names.at(static_cast<std::size_t>(mode))) +
-                  " revision=" + std::to_string(static_cast<std::uint64_t>(known_revision)));
-    m_reader.set_mode(mode, known_revision, core::clock::now());
+                  " era=" + number_of(known.era) + " revision=" + number_of(known.revision));
+    m_reader.set_mode(mode, known, core::clock::now());
     start_next_request();
 }
 
@@ -153,10 +153,7 @@
             failure = e.what();
         }
     }
-    if (response.outcome == http_outcome::answered) {
-        page.update.era = platform::decode_era(response.version);
-        record_era(call, page.update.era, page.update.revision);
-    }
+    page.update.era = platform::decode_era(response.version);
     for (const auto& reason : page.update.rejected) {
         ++m_counters.rejected_values;
         write_rate_limited_log(m_reject_log_limit, log_event::published_value_rejected, reason);
@@ -165,30 +162,24 @@
     start_next_request();
 }
 
-void store_task::record_era(relay::store_call call, relay::store_era era, relay::revision at)
-{
-    if (era <= m_era) {
-        return;
-    }
-    if (m_era != relay::store_era{}) {
-        ++m_counters.restores;
-        write_log(log_event::platform_restored, "era=" + number_of(era) + " former_era=" + number_of(m_era) +
-                                                    " call=" + call_name(call) + " revision=" + number_of(at));
-    }
-    m_era = era;
-}
-
 void store_task::on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure)
 {
     const auto name = call_name(call);
     if (progress.became_unreachable) {
-        write_log(log_event::platform_unreachable, "call=" + name + " reason=" + failure);
+        write_log(log_event::platform_unreachable,
+                  "call=" + name + " reason=" + (progress.is_from_former_era ? "former_era" : failure));
+    }
+    if (progress.restored_from) {
+        ++m_counters.restores;
+        write_log(log_event::platform_restored, "era=" + number_of(m_reader.era()) + " former_era=" +
+                                                    number_of(*progress.restored_from) + " call=" + name);
     }
     if (progress.became_reachable) {
         write_log(log_event::platform_reachable, "call=" + name);
     }
-    if (progress.update || progress.became_reachable) {
-        m_role.post({std::move(progress.update), progress.became_reachable, core::clock::now(), m_call_started_at});
+    const bool has_returned = progress.became_reachable || progress.restored_from;
+    if (progress.update || has_returned) {
+        m_role.post({std::move(progress.update), has_returned, core::clock::now(), m_call_started_at});
     }
     m_counters.outages += progress.became_unreachable ? 1 : 0;
 }
@@ -199,7 +190,7 @@
                        {"platform_outages", "", static_cast<double>(m_counters.outages)},
                        {"platform_values_rejected", "", static_cast<double>(m_counters.rejected_values)},
                        {"platform_restores", "", static_cast<double>(m_counters.restores)},
-                       {"platform_era", "", static_cast<double>(static_cast<std::uint64_t>(m_era)), false},
+                       {"platform_era", "", static_cast<double>(static_cast<std::uint64_t>(m_reader.era())), false},
                        {"platform_reachable", "", m_reader.is_unreachable() ? 0.0 : 1.0, false}};
 }
 
--- /dev/null
+++ b/tests/unit/unit-relay-restore.cpp
@@ -0,0 +1,329 @@
+#include "support/sync_fleet.hpp"
+
+#include "relay_fixture.hpp"
+
+namespace daisydoor::relay
+{
+namespace
+{
+
+using support::sync_fleet;
+
+/// A fleet whose store comes back from an older copy.
+class restored_store_test : public relay_fixture
+{
+  protected:
+    static constexpr std::uint32_t agents = 6;
+
+    restored_store_test()
+    {
+        publish({443});
+        for (std::uint32_t n = 1; n <= agents; ++n) {
+            m_fleet.store.put(make_host(n, "svc", n <= 3 ? "a" : "b"));
+        }
+        m_fleet.run(core::milliseconds(2000));
+    }
+
+    /// The operator publishes a version with routes at these ports.
+    void publish(const std::vector<std::uint16_t>& ports)
+    {
+        m_published.version = route_version{static_cast<std::uint64_t>(m_published.version) + 3};
+        m_published.routes.clear();
+        for (const auto it : ports) {
+            m_published.routes.push_back(make_route({{"svc", 1}}, it));
+        }
+        m_fleet.store.publish(m_published);
+    }
+
+    /// The store is away for a moment and returns to its copy. The operator writes again what the copy lacks.
+    void restore(core::milliseconds away = core::milliseconds(500))
+    {
+        m_fleet.is_store_down = true;
+        m_fleet.run(away);
+        m_fleet.store.restore();
+        m_fleet.is_store_down = false;
+    }
+
+    void rewrite_routes()
+    {
+        if (m_fleet.store.routes().version != m_published.version) {
+            m_fleet.store.publish(m_published);
+        }
+    }
+
+    void expect_newest_routes_everywhere()
+    {
+        for (const auto& [address, it] : m_fleet.processes()) {
+            EXPECT_EQ(it->view.version(), m_published.version) << static_cast<std::uint32_t>(address);
+            EXPECT_EQ(it->view.era(), m_fleet.store.era()) << static_cast<std::uint32_t>(address);
+            EXPECT_EQ(it->regressions, 0U) << static_cast<std::uint32_t>(address);
+        }
+    }
+
+    sync_fleet m_fleet{agents, 3};
+    route_set m_published;
+};
+
+// Guards against a change that is never in force because the former era had used its revision.
+TEST_F(restored_store_test, revision_given_out_again_with_other_content_is_applied)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    rewrite_routes();
+    m_fleet.run(core::milliseconds(1500));
+    publish({443, 446});
+    m_fleet.run(core::milliseconds(1000));
+    expect_newest_routes_everywhere();
+    EXPECT_NE(m_fleet.at(sync_fleet::entry(1)).view.find_route(service_address, 446), nullptr);
+}
+
+// Guards against every process of a fleet fetching the whole view when the era changes.
+TEST_F(restored_store_test, new_era_is_told_as_difference)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    m_fleet.run(core::milliseconds(500));
+    const auto before = m_fleet.fetches();
+    restore();
+    rewrite_routes();
+    m_fleet.run(core::milliseconds(2000));
+    expect_newest_routes_everywhere();
+    EXPECT_EQ(m_fleet.fetches(), before);
+}
+
+// Guards against a second return to the same copy that is taken for the first.
+TEST_F(restored_store_test, second_restore_in_a_row_is_followed)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    m_fleet.run(core::milliseconds(300));
+    restore(core::milliseconds(200));
+    rewrite_routes();
+    publish({443, 446});
+    m_fleet.run(core::milliseconds(2000));
+    expect_newest_routes_everywhere();
+}
+
+// Guards against an old configuration at a process that cannot reach the store and hears of its return from peers.
+TEST_F(restored_store_test, process_cut_off_from_store_follows_its_peers)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    m_fleet.at(sync_fleet::entry(1)).is_cut_from_store = true;
+    m_fleet.at(sync_fleet::agent(6)).is_cut_from_store = true;
+    restore();
+    rewrite_routes();
+    publish({443, 446});
+    m_fleet.run(core::milliseconds(2500));
+    expect_newest_routes_everywhere();
+}
+
+// Guards against a process that was cut off from everything and continues with positions of the former era.
+TEST_F(restored_store_test, process_cut_off_from_everything_catches_up)
+{
+    auto& value = m_fleet.at(sync_fleet::entry(1));
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    m_fleet.run(core::milliseconds(500));
+    value.is_cut_from_store = true;
+    value.is_cut_from_peers = true;
+    publish({443, 445});
+    restore();
+    rewrite_routes();
+    publish({443, 446});
+    m_fleet.run(core::milliseconds(3000));
+    value.is_cut_from_store = false;
+    value.is_cut_from_peers = false;
+    m_fleet.run(core::milliseconds(3500));
+    expect_newest_routes_everywhere();
+}
+
+// Guards against a process that wakes up with news of the former era in its sockets.
+TEST_F(restored_store_test, paused_process_catches_up)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    m_fleet.at(sync_fleet::entry(1)).is_paused = true;
+    m_fleet.at(sync_fleet::agent(1)).is_paused = true;
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    rewrite_routes();
+    publish({443, 446});
+    m_fleet.run(core::milliseconds(2000));
+    m_fleet.resume(sync_fleet::entry(1));
+    m_fleet.resume(sync_fleet::agent(1));
+    m_fleet.run(core::milliseconds(2000));
+    expect_newest_routes_everywhere();
+}
+
+// Guards against old routes at a process that first reads a store which refuses, is compacted or has just returned.
+TEST_F(restored_store_test, store_that_refuses_or_is_without_history_is_read_again)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    m_fleet.run(core::milliseconds(500));
+    restore(core::milliseconds(3000));
+    m_fleet.run(core::milliseconds(100));
+    m_fleet.is_store_down = true;
+    m_fleet.run(core::milliseconds(1000));
+    m_fleet.is_store_down = false;
+    rewrite_routes();
+    publish({443, 445});
+    m_fleet.store.compact();
+    m_fleet.run(core::milliseconds(2500));
+    expect_newest_routes_everywhere();
+}
+
+// Guards against a confirmation by a source that is still in the former era.
+TEST_F(restored_store_test, late_news_of_former_era_change_and_confirm_nothing)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    auto& value = m_fleet.at(sync_fleet::entry(1));
+    fleet_news late;
+    late.update = value.view.snapshot();
+    late.update.whole = false;
+    late.update.revision = revision{100};
+    late.after = value.view.revision();
+    late.after_era = value.view.era();
+    late.regained = core::milliseconds(100'000);
+    restore();
+    rewrite_routes();
+    m_fleet.run(core::milliseconds(2000));
+    const auto position = value.view.position();
+    value.sync->on_pause();
+    m_fleet.deliver(sync_fleet::agent(1), sync_fleet::entry(1), late);
+    EXPECT_EQ(value.view.position(), position);
+    EXPECT_TRUE(value.sync->should_read(m_fleet.now()));
+}
+
+// Guards against a view that returns to the former era with an answer that a slow connection delivers late.
+TEST_F(restored_store_test, late_answer_of_former_era_changes_and_confirms_nothing)
+{
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    m_fleet.run(core::milliseconds(500));
+    auto late = m_fleet.store.read_all();
+    late.whole = true;
+    restore();
+    rewrite_routes();
+    m_fleet.run(core::milliseconds(2000));
+    auto& value = m_fleet.at(sync_fleet::agent(1));
+    value.sync->on_pause();
+    const auto change = value.sync->on_platform_state(late, m_fleet.now(), m_fleet.now());
+    EXPECT_TRUE(change.is_from_former_era);
+    EXPECT_EQ(value.view.era(), m_fleet.store.era());
+    EXPECT_GT(value.sync->age(m_fleet.now()), confirmation_limit);
+}
+
+// Guards against processes of a build without eras that pull others back, or count as confirmation.
+TEST_F(restored_store_test, processes_without_eras_do_not_hold_back_others)
+{
+    for (const auto address : {sync_fleet::agent(1), sync_fleet::agent(4), sync_fleet::entry(1)}) {
+        m_fleet.at(address).is_without_eras = true;
+    }
+    m_fleet.run(core::milliseconds(1000));
+    m_fleet.store.save_copy();
+    publish({443, 444});
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    rewrite_routes();
+    publish({443, 446});
+    m_fleet.run(core::milliseconds(2500));
+    for (const auto& [address, it] : m_fleet.processes()) {
+        if (!it->is_without_eras) {
+            EXPECT_EQ(it->view.version(), m_published.version) << static_cast<std::uint32_t>(address);
+        }
+    }
+}
+
+class restored_reader_test : public relay_fixture
+{
+  protected:
+    store_progress answer(store_call call, std::uint64_t era, std::uint64_t at, bool has_more = false,
+                          store_result result = store_result::answered)
+    {
+        advance(core::milliseconds(1000));
+        const auto request = m_reader.next(m_now);
+        EXPECT_TRUE(request && request->call == call);
+        fleet_update update;
+        update.era = store_era{era};
+        update.revision = revision{at};
+        return m_reader.on_result(result, update, has_more, "servers/x", m_now);
+    }
+
+    store_reader m_reader;
+};
+
+// Guards against events of a new era that are taken for the continuation of a watch in the former one.
+TEST_F(restored_reader_test, watch_answered_in_new_era_reads_everything)
+{
+    answer(store_call::read_all, 1, 14);
+    const auto progress = answer(store_call::watch, 2, 16);
+    EXPECT_FALSE(progress.update);
+    EXPECT_EQ(progress.restored_from, store_era{1});
+    const auto next = answer(store_call::read_all, 2, 16);
+    ASSERT_TRUE(next.update);
+    EXPECT_TRUE(next.update->whole);
+    EXPECT_EQ(next.update->position(), (store_position{store_era{2}, revision{16}}));
+}
+
+// Guards against a whole state put together from pages of two eras.
+TEST_F(restored_reader_test, era_that_changes_between_pages_starts_read_again)
+{
+    answer(store_call::read_all, 1, 14, true);
+    EXPECT_FALSE(answer(store_call::read_all, 2, 12).update);
+    EXPECT_FALSE(answer(store_call::read_all, 2, 12, true).update);
+    const auto progress = answer(store_call::read_all, 2, 12);
+    ASSERT_TRUE(progress.update);
+    EXPECT_EQ(progress.update->era, store_era{2});
+}
+
+// Guards against an answer of the former era that arrives after peers told of the new one.
+TEST_F(restored_reader_test, answer_of_former_era_is_a_failed_call)
+{
+    answer(store_call::read_all, 1, 14);
+    m_reader.set_mode(read_mode::off, {}, m_now);
+    m_reader.set_mode(read_mode::check, {store_era{2}, revision{12}}, m_now);
+    const auto progress = answer(store_call::watch, 1, 15);
+    EXPECT_TRUE(progress.is_from_former_era);
+    EXPECT_TRUE(progress.became_unreachable);
+    EXPECT_FALSE(progress.update);
+}
+
+// Guards against a platform without the header, or an answer without it, that is never believed.
+TEST_F(restored_reader_test, answer_without_era_belongs_to_present_one)
+{
+    answer(store_call::read_all, 3, 14);
+    const auto progress = answer(store_call::watch, 0, 15);
+    ASSERT_TRUE(progress.update);
+    EXPECT_EQ(progress.update->era, store_era{3});
+}
+
+// Guards against endless 410 answers: the revision of a lost watch is above the new era's.
+TEST_F(restored_reader_test, lost_history_in_new_era_reads_everything_once)
+{
+    answer(store_call::read_all, 1, 14);
+    EXPECT_EQ(answer(store_call::watch, 2, 0, false, store_result::history_lost).restored_from, store_era{1});
+    EXPECT_TRUE(answer(store_call::read_all, 2, 12).update);
+    advance(core::milliseconds(1000));
+    const auto request = m_reader.next(m_now);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->call, store_call::watch);
+    EXPECT_EQ(request->revision, revision{12});
+}
+
+} // namespace
+} // namespace daisydoor::relay
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -51,7 +51,7 @@
     void read(process& value, core::time_point asked_at)
     {
         actions out;
-        const auto newer = m_platform.changes_after(value.view.revision());
+        const auto newer = m_platform.changes_after(value.view.position());
         const auto change = value.view.apply(newer ? *newer : m_platform.snapshot(), m_now);
         value.sync->on_confirmed(m_now);
         if (change.routes || change.hosts > 0) {
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -319,7 +319,7 @@
 {
     answer(store_call::read_all, 10);
     EXPECT_FALSE(m_reader.next(m_now));
-    m_reader.set_mode(read_mode::off, revision{10}, m_now);
+    m_reader.set_mode(read_mode::off, {store_era{}, revision{10}}, m_now);
     advance(watch_pause);
     EXPECT_FALSE(m_reader.next(m_now));
 }
@@ -354,9 +354,9 @@
 TEST_F(store_reader_test, check_after_mode_off_continues_from_known_revision)
 {
     read_all();
-    m_reader.set_mode(read_mode::off, revision{14}, m_now);
+    m_reader.set_mode(read_mode::off, {store_era{}, revision{14}}, m_now);
     EXPECT_FALSE(m_reader.next(m_now));
-    m_reader.set_mode(read_mode::check, revision{40}, m_now);
+    m_reader.set_mode(read_mode::check, {store_era{}, revision{40}}, m_now);
     const auto request = m_reader.next(m_now);
     ASSERT_TRUE(request);
     EXPECT_EQ(request->call, store_call::watch);
