Decide by the hosts' own counts what an older copy of the store says

Within an era the revision says which entry is newer; between the copy and the view nothing did, so the copy won.

A host counts its own writes (Sequence, anew with each born). What may be of the copy is compared by that count: an earlier write changes nothing. A host that had left is known, but not used, until it writes again or the platform would have removed its entry again (three heartbeats and the 2 s for returning hosts). Hosts that the copy lacks keep their grace time, draining ones too. The rest of a grace time or dispute is told with the whole view. New setting host_heartbeat_ms.

Ruled out: ignoring the copy until the hosts write again (a host whose entry is equal writes no change, so it would never be used).

--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -71,7 +71,10 @@
     core::milliseconds cold_remaining{0};
     /// Start of this incarnation in Unix milliseconds.
     std::int64_t born = 0;
+    /// Number of this write among the host's own; starts anew with each incarnation. 0 if it is not known.
+    std::uint64_t sequence = 0;
 
+    /// @brief Compares what is published, not the number of the write.
     friend bool operator==(const host& a, const host& b) noexcept
     {
         return a.id == b.id && a.service == b.service && a.availability_zone == b.availability_zone &&
@@ -152,6 +155,10 @@
 {
     relay::revision revision{};
     std::variant<host, host_removed, route_set, route_delta> value;
+    /// Time for which a host is still used although its entry is missing at the platform; 0 if it is not missing.
+    core::milliseconds grace{0};
+    /// Time for which a host is not used yet because only an older copy of the platform's store names it; else 0.
+    core::milliseconds disputed{0};
 };
 
 /// @brief Part of the published state, as read from the platform or received from a peer.
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -31,9 +31,15 @@
     bool in_own_zone = false;
     /// End of the grace period; set while the host's entry is missing at the platform but the host is still used.
     std::optional<core::time_point> grace_ends_at;
+    /// Set while only an older copy of the store names the host, which had left: it is not used until then, unless it
+    /// is written again.
+    std::optional<core::time_point> disputed_until;
 
     /// @brief Whether new flows may be placed on the host.
-    [[nodiscard]] bool accepts_new_flows() const noexcept { return value.state == host_state::ready; }
+    [[nodiscard]] bool accepts_new_flows() const noexcept
+    {
+        return value.state == host_state::ready && !disputed_until;
+    }
 };
 
 /// @brief A route with its services resolved.
@@ -59,6 +65,14 @@
 /// Used until the configuration names an idle timeout.
 constexpr core::milliseconds default_idle_timeout{15'000};
 
+/// Interval at which a host writes its entry, unless the settings name another.
+constexpr core::milliseconds default_host_heartbeat{1200};
+/// The platform removes an entry after this many intervals without a write.
+constexpr int heartbeats_until_removal = 3;
+/// Time after which a removed host is forgotten; above the age of the copies that a store returns from, which is
+/// seconds.
+constexpr core::milliseconds removed_host_retention{60'000};
+
 /// @brief What an update changed.
 struct view_change
 {
@@ -83,10 +97,13 @@
 ///
 /// Load pattern: the platform may drop the entries of live hosts during an outage. A ready host whose entry disappears
 /// within `lapsed_entry_grace` of the platform's return stays in use until that time is over.
+///
+/// After a return from an older copy, the hosts' own counts decide: an entry that a host wrote before the one in the
+/// view changes nothing, and a host that had left is not used before its entry would have been removed again.
 class fleet_view
 {
   public:
-    explicit fleet_view(std::string own_zone);
+    explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat);
 
     /// @brief Applies an update; values older than the view's are ignored.
     view_change apply(const fleet_update& update, core::time_point now);
@@ -101,6 +118,10 @@
     /// @return the number of hosts removed
     std::size_t expire(core::time_point now);
 
+    /// @brief Uses hosts whose entries are still there after the time in which they would have been removed.
+    /// @return the number of such hosts
+    std::size_t end_disputes(core::time_point now);
+
     /// @brief Whether routes are known; without them no packet can be handled.
     [[nodiscard]] bool is_ready() const noexcept { return m_version != route_version{}; }
     [[nodiscard]] route_version version() const noexcept { return m_version; }
@@ -137,7 +158,7 @@
     [[nodiscard]] static service_index choose_service(const known_route& route, std::uint64_t flow_hash) noexcept;
 
     /// @brief The whole state as an update, for a peer without any state.
-    [[nodiscard]] fleet_update snapshot() const;
+    [[nodiscard]] fleet_update snapshot(core::time_point now) const;
 
     /// @brief Changes after a position, or nullopt if the log does not have them all. The log continues from the end of
     /// the former era to the present one.
@@ -151,14 +172,26 @@
 
     static route_key key_of(ipv4 address, std::uint16_t port) noexcept;
     service_index intern(const std::string& name);
-    bool apply_host(const host& value, relay::revision at);
-    bool apply_removal(const std::string& id, relay::revision at, core::time_point now);
+    /// @brief What the view keeps of a host that was removed.
+    struct removed_host
+    {
+        host value;
+        core::time_point removed_at;
+    };
+
+    bool apply_host(const fleet_change& change, core::time_point now);
+    /// @brief Applies an entry that may be of the copy, and then older than the view's.
+    bool apply_copied_host(const fleet_change& change, core::time_point now);
+    bool apply_removal(const std::string& id, relay::revision at, core::time_point now, bool is_new_era);
+    void forget_host(std::map<std::string, known_host>::iterator it, core::time_point now);
+    /// @brief The change as subscribers need it: a host with its dispute.
+    [[nodiscard]] fleet_change as_applied(const fleet_change& change, core::time_point now) const;
     /// @brief Whether the first difference of routes applies to a version that the view does not have.
     [[nodiscard]] bool has_unknown_base(const fleet_update& update) const;
     /// @brief Moves on to the era of an update, at revision 0.
     void begin_era(const fleet_update& update);
     /// @brief Applies one change. @return what it changed
-    view_change apply_change(const fleet_change& change, core::time_point now);
+    view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
     [[nodiscard]] std::vector<std::string> hosts_not_named(const fleet_update& whole) const;
     bool apply_routes(const route_set& value, relay::revision at);
@@ -169,8 +202,12 @@
     void index_hosts();
 
     std::string m_own_zone;
+    core::milliseconds m_host_heartbeat;
     store_position m_position;
     bool m_has_changed_era = false;
+    /// Revision at which the view followed the store to the present era. What was written up to then may be of the
+    /// copy.
+    relay::revision m_era_start{};
     route_version m_version{};
     relay::revision m_routes_revision{};
     core::milliseconds m_idle_timeout{0};
@@ -179,6 +216,7 @@
     std::unordered_map<route_key, known_route> m_routes;
     std::unordered_map<route_key, std::vector<service_index>> m_dropped_routes;
     std::map<std::string, known_host> m_hosts;
+    std::unordered_map<std::string, removed_host> m_removed_hosts;
     std::vector<std::vector<const known_host*>> m_by_service;
     std::unordered_map<std::uint32_t, const known_host*> m_by_address;
     /// Changes after m_log_start, oldest first; bounded.
--- a/include/daisydoor/runtime/settings.hpp
+++ b/include/daisydoor/runtime/settings.hpp
@@ -4,6 +4,7 @@
 #include "daisydoor/core/error.hpp"
 #include "daisydoor/core/ids.hpp"
 #include "daisydoor/core/time.hpp"
+#include "daisydoor/relay/fleet_view.hpp"
 
 #include <array>
 #include <optional>
@@ -148,6 +149,8 @@
     core::seconds flow_ttl{60};
     /// Time after SIGTERM within which the process must have ended.
     core::seconds grace{6};
+    /// Interval at which hosts write their entries at the platform.
+    core::milliseconds host_heartbeat = relay::default_host_heartbeat;
     runtime::log_level log_level = log_level::info;
     /// Set if and only if the role is `relay_agent`.
     std::optional<relay_agent_settings> agent;
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -40,7 +40,8 @@
     const auto service = builder.CreateString(value.service);
     const auto zone = builder.CreateString(value.availability_zone);
     return wire::Createfleet_host(builder, id, service, zone, static_cast<std::uint32_t>(value.address), value.slots,
-                                  value.state == host_state::draining, to_wire(value.cold_remaining), value.born);
+                                  value.state == host_state::draining, to_wire(value.cold_remaining), value.born,
+                                  value.sequence);
 }
 
 flatbuffers::Offset<wire::fleet_route> pack(flatbuffers::FlatBufferBuilder& builder, const route& value)
@@ -79,7 +80,8 @@
 {
     const auto revision = static_cast<std::uint64_t>(value.revision);
     if (const auto* it = std::get_if<host>(&value.value)) {
-        return wire::Createfleet_change(builder, revision, pack(builder, *it));
+        return wire::Createfleet_change(builder, revision, pack(builder, *it), 0, 0, to_wire(value.grace),
+                                        to_wire(value.disputed));
     }
     if (const auto* removed = std::get_if<host_removed>(&value.value)) {
         return wire::Createfleet_change(builder, revision, 0, builder.CreateString(removed->id));
@@ -116,6 +118,7 @@
     result.state = value.draining() ? host_state::draining : host_state::ready;
     result.cold_remaining = core::milliseconds(value.cold_remaining_ms());
     result.born = value.born();
+    result.sequence = value.sequence();
     return result;
 }
 
@@ -169,6 +172,8 @@
         change.revision = revision{it->revision()};
         if (it->host() != nullptr) {
             change.value.emplace<host>(from_wire(*it->host()));
+            change.grace = core::milliseconds(it->grace_ms());
+            change.disputed = core::milliseconds(it->disputed_ms());
         } else if (it->removed_host() != nullptr) {
             change.value.emplace<host_removed>(host_removed{it->removed_host()->str()});
         } else if (it->routes() != nullptr) {
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -36,6 +36,20 @@
     former_services.push_back(service);
 }
 
+bool is_earlier_write(const host& a, const host& b) noexcept
+{
+    return std::tie(a.born, a.sequence) < std::tie(b.born, b.sequence);
+}
+
+/// Time until `end`, at least 1 ms; 0 without an end.
+core::milliseconds remaining(const std::optional<core::time_point>& end, core::time_point now)
+{
+    if (!end) {
+        return core::milliseconds(0);
+    }
+    return std::max(std::chrono::duration_cast<core::milliseconds>(*end - now), core::milliseconds(1));
+}
+
 bool is_route_before(const route& a, const route& b) noexcept
 {
     return std::tie(a.address, a.port) < std::tie(b.address, b.port);
@@ -66,7 +80,10 @@
                        [service](const choice& it) { return it.service == service && it.weight > 0; });
 }
 
-fleet_view::fleet_view(std::string own_zone) : m_own_zone(std::move(own_zone)) {}
+fleet_view::fleet_view(std::string own_zone, core::milliseconds host_heartbeat)
+    : m_own_zone(std::move(own_zone)), m_host_heartbeat(host_heartbeat)
+{
+}
 
 fleet_view::route_key fleet_view::key_of(ipv4 address, std::uint16_t port) noexcept
 {
@@ -79,13 +96,14 @@
     return m_service_indices.emplace(name, next).first->second;
 }
 
-view_change fleet_view::apply_change(const fleet_change& change, core::time_point now)
+view_change fleet_view::apply_change(const fleet_change& change, core::time_point now, bool is_new_era)
 {
     view_change result;
-    if (const auto* it = std::get_if<host>(&change.value)) {
-        result.hosts = apply_host(*it, change.revision) ? 1 : 0;
+    if (std::holds_alternative<host>(change.value)) {
+        const bool may_be_copied = m_has_changed_era && change.revision <= m_era_start;
+        result.hosts = (may_be_copied ? apply_copied_host(change, now) : apply_host(change, now)) ? 1 : 0;
     } else if (const auto* removal = std::get_if<host_removed>(&change.value)) {
-        result.hosts = apply_removal(removal->id, change.revision, now) ? 1 : 0;
+        result.hosts = apply_removal(removal->id, change.revision, now, is_new_era) ? 1 : 0;
     } else if (const auto* routes = std::get_if<route_set>(&change.value)) {
         result.routes = apply_routes(*routes, change.revision);
     } else if (const auto* delta = std::get_if<route_delta>(&change.value)) {
@@ -113,6 +131,7 @@
     }
     m_log.clear();
     m_log_start = update.revision;
+    m_era_start = update.revision;
     // Revisions of the former era say nothing about the order of changes in this one.
     for (auto& [id, entry] : m_hosts) {
         entry.revision = relay::revision{};
@@ -150,20 +169,22 @@
         if (!is_newer_whole && change.revision <= m_position.revision) {
             continue;
         }
-        const auto effect = apply_change(change, now);
+        const auto effect = apply_change(change, now, result.is_new_era);
         result.hosts += effect.hosts;
         result.routes = result.routes || effect.routes;
         result.needs_whole = result.needs_whole || effect.needs_whole;
         if (result.is_new_era && effect.changes_view()) {
             // Subscribers get the difference between the eras at once.
-            applied.push_back(
-                {std::max(change.revision, update.whole ? update.revision : relay::revision{}), change.value});
+            applied.push_back(as_applied(change, now));
+            if (update.whole) {
+                applied.back().revision = std::max(change.revision, update.revision);
+            }
         }
     }
     std::vector<fleet_change> removals;
     if (is_newer_whole) {
         for (auto& id : hosts_not_named(update)) {
-            result.hosts += apply_removal(id, update.revision, now) ? 1 : 0;
+            result.hosts += apply_removal(id, update.revision, now, result.is_new_era) ? 1 : 0;
             removals.push_back({update.revision, host_removed{std::move(id)}});
         }
     }
@@ -275,53 +296,119 @@
     return apply_routes(whole, at);
 }
 
-bool fleet_view::apply_host(const host& value, relay::revision at)
+bool fleet_view::apply_host(const fleet_change& change, core::time_point now)
 {
+    const auto& value = std::get<host>(change.value);
     auto [it, added] = m_hosts.try_emplace(value.id);
     auto& entry = it->second;
-    if (!added && at <= entry.revision && !entry.grace_ends_at) {
-        return false;
-    }
-    if (!added && at < entry.revision) {
+    const auto at = change.revision;
+    if (!added && (at < entry.revision || (at == entry.revision && !entry.grace_ends_at))) {
         return false;
     }
-    if (!added && entry.value == value && !entry.grace_ends_at) {
-        entry.revision = at;
+    const bool is_certain = !entry.grace_ends_at && !entry.disputed_until && change.grace.count() == 0;
+    entry.revision = at;
+    if (!added && is_certain && entry.value == value) {
+        entry.value.sequence = value.sequence;
         return false;
     }
     entry.value = value;
-    entry.revision = at;
     entry.service = intern(value.service);
     entry.rendezvous_key = rendezvous_key_of(value);
     entry.in_own_zone = value.availability_zone == m_own_zone;
-    entry.grace_ends_at.reset();
+    entry.grace_ends_at = change.grace.count() > 0 ? std::optional(now + change.grace) : std::nullopt;
+    entry.disputed_until = change.disputed.count() > 0 ? std::optional(now + change.disputed) : std::nullopt;
+    m_removed_hosts.erase(value.id);
     return true;
 }
 
-bool fleet_view::apply_removal(const std::string& id, relay::revision at, core::time_point now)
+bool fleet_view::apply_copied_host(const fleet_change& change, core::time_point now)
+{
+    const auto& value = std::get<host>(change.value);
+    if (const auto it = m_hosts.find(value.id); it != m_hosts.end()) {
+        auto& entry = it->second;
+        const bool is_repeated = entry.disputed_until && !is_earlier_write(entry.value, value);
+        if (is_earlier_write(value, entry.value) || is_repeated) {
+            entry.revision = change.revision;
+            return std::exchange(entry.grace_ends_at, std::nullopt).has_value();
+        }
+        return apply_host(change, now);
+    }
+    const auto removed = m_removed_hosts.find(value.id);
+    const bool had_left = removed != m_removed_hosts.end() && !is_earlier_write(removed->second.value, value);
+    if (!had_left) {
+        return apply_host(change, now);
+    }
+    auto disputed = change;
+    disputed.disputed = std::max(change.disputed, m_host_heartbeat * heartbeats_until_removal + lapsed_entry_grace);
+    return apply_host(disputed, now);
+}
+
+fleet_change fleet_view::as_applied(const fleet_change& change, core::time_point now) const
+{
+    auto result = change;
+    if (const auto* value = std::get_if<host>(&change.value)) {
+        if (const auto it = m_hosts.find(value->id); it != m_hosts.end()) {
+            result.value = it->second.value;
+            result.disputed = remaining(it->second.disputed_until, now);
+        }
+    }
+    return result;
+}
+
+bool fleet_view::apply_removal(const std::string& id, relay::revision at, core::time_point now, bool is_new_era)
 {
     const auto it = m_hosts.find(id);
     if (it == m_hosts.end() || it->second.revision > at || it->second.grace_ends_at) {
         return false;
     }
-    const bool may_return =
-        it->second.value.state == host_state::ready && m_regained_at && now - *m_regained_at < lapsed_entry_grace;
-    if (may_return) {
-        it->second.grace_ends_at = *m_regained_at + lapsed_entry_grace;
-        it->second.revision = at;
+    auto& entry = it->second;
+    const bool has_returned = m_regained_at && now - *m_regained_at < lapsed_entry_grace;
+    // An older copy also lacks draining hosts that still serve their flows.
+    const bool may_return = is_new_era || (has_returned && entry.value.state == host_state::ready);
+    if (may_return && !entry.disputed_until) {
+        entry.grace_ends_at = (has_returned ? *m_regained_at : now) + lapsed_entry_grace;
+        entry.revision = at;
     } else {
-        m_hosts.erase(it);
+        forget_host(it, now);
     }
     return true;
 }
 
+void fleet_view::forget_host(std::map<std::string, known_host>::iterator it, core::time_point now)
+{
+    for (auto removed = m_removed_hosts.begin(); removed != m_removed_hosts.end();) {
+        const bool is_over = now - removed->second.removed_at > removed_host_retention;
+        removed = is_over ? m_removed_hosts.erase(removed) : std::next(removed);
+    }
+    m_removed_hosts.insert_or_assign(it->first, removed_host{it->second.value, now});
+    m_hosts.erase(it);
+}
+
 std::size_t fleet_view::expire(core::time_point now)
 {
     std::size_t result = 0;
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
-        const bool is_over = it->second.grace_ends_at && now >= *it->second.grace_ends_at;
-        it = is_over ? m_hosts.erase(it) : std::next(it);
-        result += is_over ? 1 : 0;
+        const auto entry = it++;
+        if (entry->second.grace_ends_at && now >= *entry->second.grace_ends_at) {
+            forget_host(entry, now);
+            ++result;
+        }
+    }
+    if (result > 0) {
+        index_hosts();
+    }
+    return result;
+}
+
+std::size_t fleet_view::end_disputes(core::time_point now)
+{
+    std::size_t result = 0;
+    for (auto& [id, entry] : m_hosts) {
+        if (entry.disputed_until && now >= *entry.disputed_until) {
+            entry.disputed_until.reset();
+            m_removed_hosts.erase(id);
+            ++result;
+        }
     }
     if (result > 0) {
         index_hosts();
@@ -369,6 +456,9 @@
     m_by_service.assign(m_service_indices.size(), {});
     m_by_address.clear();
     for (const auto& [id, entry] : m_hosts) {
+        if (entry.disputed_until) {
+            continue;
+        }
         m_by_service.at(static_cast<std::size_t>(entry.service)).push_back(&entry);
         auto& newest = m_by_address[static_cast<std::uint32_t>(entry.value.address)];
         if (newest == nullptr || newest->value.born < entry.value.born) {
@@ -421,14 +511,15 @@
     return route.services.back().service;
 }
 
-fleet_update fleet_view::snapshot() const
+fleet_update fleet_view::snapshot(core::time_point now) const
 {
     fleet_update result;
     result.era = m_position.era;
     result.revision = m_position.revision;
     result.whole = true;
     for (const auto& [id, entry] : m_hosts) {
-        result.changes.push_back({entry.revision, entry.value});
+        result.changes.push_back(
+            {entry.revision, entry.value, remaining(entry.grace_ends_at, now), remaining(entry.disputed_until, now)});
     }
     if (is_ready()) {
         route_set routes;
--- a/src/runtime/relay_settings.cpp
+++ b/src/runtime/relay_settings.cpp
@@ -9,6 +9,7 @@
 constexpr std::uint64_t max_port = 65'535;
 constexpr std::uint64_t max_flow_ttl_s = 86'400;
 constexpr std::uint64_t max_grace_s = 3600;
+constexpr std::uint64_t max_host_heartbeat_ms = 60'000;
 
 relay_agent_settings read_relay_agent(settings_reader& reader, const YAML::Node& node)
 {
@@ -42,6 +43,10 @@
         const auto value = reader.integer(node, "", "grace_s", false, 1, max_grace_s);
         result.grace = core::seconds(static_cast<std::int64_t>(value));
     }
+    if (node["host_heartbeat_ms"].IsDefined()) {
+        const auto value = reader.integer(node, "", "host_heartbeat_ms", false, 1, max_host_heartbeat_ms);
+        result.host_heartbeat = core::milliseconds(static_cast<std::int64_t>(value));
+    }
 }
 
 } // namespace
@@ -64,7 +69,7 @@
     relay_settings result;
     if (!reader.check_map(node, "",
                           {"role", "name", "zone", "packets", "admin", "peer_port", "platform", "seeds", "first_start",
-                           "flow_ttl_s", "grace_s", "log_level", "agent"})) {
+                           "flow_ttl_s", "grace_s", "host_heartbeat_ms", "log_level", "agent"})) {
         return result;
     }
     const auto found_role = reader.enum_name(node, "role", true, relay_role_names);
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -89,7 +89,8 @@
 
 relay_task::relay_task(kernel& owner, const relay_settings& process_settings, store_task& store, const log_output& log)
     : m_kernel(owner), m_settings(process_settings), m_store(store), m_log(log),
-      m_own_address(relay::ipv4_of(process_settings.packets)), m_view(process_settings.zone),
+      m_own_address(relay::ipv4_of(process_settings.packets)),
+      m_view(process_settings.zone, process_settings.host_heartbeat),
       m_sync(m_own_address, seeds_of(process_settings), m_view, &encoded_size),
       m_packets(
           owner.base(), process_settings.packets,
@@ -323,6 +324,12 @@
                                                 " reason=missing_after_platform_return");
         m_sync.on_change(now, m_actions);
     }
+    if (const auto n = m_view.end_disputes(now); n > 0) {
+        write_log(log_event::hosts_changed, "confirmed=" + std::to_string(n) +
+                                                " hosts=" + std::to_string(m_view.hosts().size()) +
+                                                " reason=entry_not_removed_again");
+        m_sync.on_change(now, m_actions);
+    }
     m_sync.on_tick(now, m_actions);
     choose_read_mode(now);
     if (m_entry) {
@@ -449,7 +456,7 @@
         return {status_ok, prometheus_type, metrics_text()};
     }
     if (path == fleet_path && m_view.is_ready()) {
-        const auto bytes = relay::encode_update(m_view.snapshot());
+        const auto bytes = relay::encode_update(m_view.snapshot(core::clock::now()));
         return {status_ok, "application/octet-stream", {bytes.begin(), bytes.end()}};
     }
     if (path == "/dump") {
@@ -502,7 +509,8 @@
                                    {"address", to_string(entry.value.address)},
                                    {"slots", entry.value.slots},
                                    {"state", relay::host_state_names.at(static_cast<std::size_t>(entry.value.state))},
-                                   {"lapsing", entry.grace_ends_at.has_value()}});
+                                   {"lapsing", entry.grace_ends_at.has_value()},
+                                   {"disputed", entry.disputed_until.has_value()}});
     }
     if (m_agent) {
         const auto load = m_agent->load();
--- a/tests/support/sync_fleet.cpp
+++ b/tests/support/sync_fleet.cpp
@@ -158,7 +158,7 @@
 {
     relay::actions out;
     read_store(value, out);
-    if (value.view.expire(m_now) > 0) {
+    if (value.view.expire(m_now) + value.view.end_disputes(m_now) > 0) {
         value.sync->on_change(m_now, out);
     }
     value.sync->on_tick(m_now, out);
@@ -266,7 +266,7 @@
                 sender.sync->on_fetch_failed();
                 continue;
             }
-            const auto bytes = relay::encode_update(source->second->view.snapshot());
+            const auto bytes = relay::encode_update(source->second->view.snapshot(m_now));
             auto update = relay::decode_update({bytes.data(), bytes.size()});
             if (sender.is_without_eras || source->second->is_without_eras) {
                 update->era = {};
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -74,6 +74,7 @@
     EXPECT_EQ(value.slots, 5U);
     EXPECT_EQ(value.cold_remaining.count(), 40);
     EXPECT_EQ(value.born, 1700000000000);
+    EXPECT_EQ(value.sequence, 4U);
 }
 
 // Guards against an era that is taken from a header that is not a number.
--- a/tests/unit/unit-relay-agent.cpp
+++ b/tests/unit/unit-relay-agent.cpp
@@ -261,7 +261,7 @@
     advance(agent_opening_age + core::milliseconds(1));
     agent.on_packet(make_syn(make_flow(40002)), bytes(), entry_address, m_now, m_actions);
     EXPECT_TRUE(m_actions.empty());
-    view.apply(m_view.snapshot(), m_now);
+    view.apply(m_view.snapshot(m_now), m_now);
     agent.on_view_ready(m_now, m_actions);
     EXPECT_EQ(emitted<send_to_host>().size(), 1U) << "the entry has placed the older one elsewhere";
 }
--- a/tests/unit/unit-relay-entry.cpp
+++ b/tests/unit/unit-relay-entry.cpp
@@ -204,7 +204,7 @@
     on_packet(make_packet(make_flow()));
     const auto first = emitted<send_to_agent>().at(0).agent;
     fleet_view other_view{"b"};
-    other_view.apply(m_view.snapshot(), m_now);
+    other_view.apply(m_view.snapshot(m_now), m_now);
     entry_relay other{ipv4{1}, other_view};
     m_actions.clear();
     other.on_packet(make_packet(make_flow()), bytes(), m_now, m_actions);
@@ -234,7 +234,7 @@
     entry.on_packet(make_syn(make_flow(40002)), bytes(), m_now, m_actions);
     advance(core::milliseconds(1));
     EXPECT_TRUE(m_actions.empty());
-    view.apply(m_view.snapshot(), m_now);
+    view.apply(m_view.snapshot(m_now), m_now);
     entry.on_view_ready(m_now, m_actions);
     const auto sent = emitted<decision_record>();
     ASSERT_EQ(sent.size(), 1U) << "the first opening packet is too old";
--- a/tests/unit/unit-relay-restore.cpp
+++ b/tests/unit/unit-relay-restore.cpp
@@ -2,6 +2,8 @@
 
 #include "relay_fixture.hpp"
 
+#include <algorithm>
+
 namespace daisydoor::relay
 {
 namespace
@@ -192,7 +194,7 @@
     m_fleet.run(core::milliseconds(500));
     auto& value = m_fleet.at(sync_fleet::entry(1));
     fleet_news late;
-    late.update = value.view.snapshot();
+    late.update = value.view.snapshot(m_now);
     late.update.whole = false;
     late.update.revision = revision{100};
     late.after = value.view.revision();
@@ -249,6 +251,164 @@
     }
 }
 
+/// Hosts whose entries the copy lacks or still has.
+class restored_hosts_test : public restored_store_test
+{
+  protected:
+    static host written(std::uint32_t n, std::uint64_t sequence, host_state state = host_state::ready)
+    {
+        auto result = make_host(n, "svc", n <= 3 ? "a" : "b");
+        result.sequence = sequence;
+        result.state = state;
+        return result;
+    }
+
+    /// Number of processes that place new flows on a host.
+    std::size_t users_of(const std::string& id)
+    {
+        std::size_t result = 0;
+        for (const auto& [address, it] : m_fleet.processes()) {
+            const auto service = it->view.find_service("svc");
+            const auto& hosts = it->view.hosts_of(*service);
+            result += std::any_of(hosts.begin(), hosts.end(),
+                                  [&id](const auto* host) { return host->value.id == id && host->accepts_new_flows(); })
+                          ? 1
+                          : 0;
+        }
+        return result;
+    }
+
+    std::size_t all() { return m_fleet.processes().size(); }
+};
+
+// Guards against flows at a host that has left and is only named by the copy.
+TEST_F(restored_hosts_test, host_that_has_left_is_not_used_because_copy_names_it)
+{
+    m_fleet.store.put(written(5, 4));
+    m_fleet.store.save_copy();
+    m_fleet.store.remove("i-5");
+    m_fleet.run(core::milliseconds(3000));
+    ASSERT_EQ(users_of("i-5"), 0U);
+    restore();
+    for (int i = 0; i < 30; ++i) {
+        m_fleet.run(core::milliseconds(100));
+        ASSERT_EQ(users_of("i-5"), 0U);
+    }
+    m_fleet.store.remove("i-5");
+    m_fleet.run(core::milliseconds(5000));
+    EXPECT_EQ(users_of("i-5"), 0U);
+}
+
+// Guards against a dispute that a second return to the copy ends.
+TEST_F(restored_hosts_test, host_that_has_left_is_not_used_after_second_restore)
+{
+    m_fleet.store.put(written(5, 4));
+    m_fleet.store.save_copy();
+    m_fleet.store.remove("i-5");
+    m_fleet.run(core::milliseconds(3000));
+    restore();
+    m_fleet.run(core::milliseconds(1000));
+    restore();
+    for (int i = 0; i < 30; ++i) {
+        m_fleet.run(core::milliseconds(100));
+        ASSERT_EQ(users_of("i-5"), 0U);
+    }
+}
+
+// Guards against a live host that is never used again because its entry was removed before the store was restored.
+TEST_F(restored_hosts_test, host_whose_entry_stays_is_used_again)
+{
+    m_fleet.store.put(written(5, 4));
+    m_fleet.store.save_copy();
+    m_fleet.store.remove("i-5");
+    m_fleet.run(core::milliseconds(3000));
+    restore();
+    m_fleet.run(heartbeats_until_removal * default_host_heartbeat + lapsed_entry_grace + core::milliseconds(1500));
+    EXPECT_EQ(users_of("i-5"), all());
+}
+
+// Guards against a live host that is not used although it wrote its entry again.
+TEST_F(restored_hosts_test, host_that_writes_again_is_used_at_once)
+{
+    m_fleet.store.put(written(5, 4));
+    m_fleet.store.save_copy();
+    m_fleet.store.remove("i-5");
+    m_fleet.run(core::milliseconds(3000));
+    restore();
+    m_fleet.run(core::milliseconds(1000));
+    m_fleet.store.put(written(5, 9));
+    m_fleet.run(core::milliseconds(500));
+    EXPECT_EQ(users_of("i-5"), all());
+}
+
+// Guards against new flows at a draining host that the copy names as ready.
+TEST_F(restored_hosts_test, draining_host_does_not_become_ready_because_copy_says_so)
+{
+    m_fleet.store.put(written(5, 4));
+    m_fleet.store.save_copy();
+    m_fleet.store.put(written(5, 5, host_state::draining));
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    for (int i = 0; i < 30; ++i) {
+        m_fleet.run(core::milliseconds(100));
+        ASSERT_EQ(users_of("i-5"), 0U);
+    }
+    m_fleet.store.put(written(5, 7, host_state::draining));
+    m_fleet.run(core::milliseconds(2000));
+    EXPECT_EQ(users_of("i-5"), 0U);
+}
+
+// Guards against a restarted host that keeps the state of the incarnation before, whose count was higher.
+TEST_F(restored_hosts_test, new_incarnation_counts_from_the_start)
+{
+    m_fleet.store.put(written(5, 40, host_state::draining));
+    m_fleet.run(core::milliseconds(500));
+    m_fleet.store.save_copy();
+    restore();
+    auto restarted = written(5, 1);
+    restarted.born += 5000;
+    m_fleet.store.put(restarted);
+    m_fleet.run(core::milliseconds(1500));
+    EXPECT_EQ(users_of("i-5"), all());
+}
+
+// Guards against the loss of live hosts that the copy lacks; draining ones still serve their flows.
+TEST_F(restored_hosts_test, host_that_copy_lacks_stays_until_it_is_written_again)
+{
+    m_fleet.store.save_copy();
+    m_fleet.store.put(written(7, 1));
+    m_fleet.store.put(written(8, 2, host_state::draining));
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    m_fleet.run(core::milliseconds(1200));
+    EXPECT_EQ(users_of("i-7"), all());
+    for (const auto& [address, it] : m_fleet.processes()) {
+        EXPECT_EQ(it->view.hosts().count("i-8"), 1U);
+    }
+    m_fleet.store.put(written(7, 3));
+    m_fleet.run(core::milliseconds(3000));
+    EXPECT_EQ(users_of("i-7"), all());
+    for (const auto& [address, it] : m_fleet.processes()) {
+        EXPECT_EQ(it->view.hosts().count("i-8"), 0U) << "was not written again";
+    }
+}
+
+// Guards against a process that gets the view from a peer while a host is missing, and keeps that host for ever.
+TEST_F(restored_hosts_test, grace_ends_at_process_that_fetched_the_view)
+{
+    m_fleet.store.save_copy();
+    m_fleet.store.put(written(7, 1));
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    m_fleet.run(core::milliseconds(1000));
+    m_fleet.at(sync_fleet::entry(1)).is_cut_from_store = true;
+    m_fleet.restart(sync_fleet::entry(1));
+    m_fleet.run(core::milliseconds(300));
+    EXPECT_EQ(users_of("i-7"), all()) << "a host in its grace time is told with it";
+    m_fleet.run(core::milliseconds(2500));
+    EXPECT_EQ(users_of("i-7"), 0U);
+}
+
 class restored_reader_test : public relay_fixture
 {
   protected:
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -52,7 +52,7 @@
     {
         actions out;
         const auto newer = m_platform.changes_after(value.view.position());
-        const auto change = value.view.apply(newer ? *newer : m_platform.snapshot(), m_now);
+        const auto change = value.view.apply(newer ? *newer : m_platform.snapshot(m_now), m_now);
         value.sync->on_confirmed(m_now);
         if (change.routes || change.hosts > 0) {
             value.sync->on_change(m_now, out);
@@ -76,7 +76,7 @@
         for (const auto& it : out) {
             if (const auto* fetch = std::get_if<fetch_view>(&it)) {
                 ++m_fetches;
-                at(from).sync->on_fetched(at(fetch->from).view.snapshot(), m_now);
+                at(from).sync->on_fetched(at(fetch->from).view.snapshot(m_now), m_now);
                 continue;
             }
             const auto* sent = std::get_if<send_message>(&it);
@@ -216,7 +216,7 @@
     for (std::uint32_t n = 39; n >= 10; --n) {
         add_host(m_platform, make_host(n));
     }
-    source.sync->on_fetched(m_platform.snapshot(), m_now);
+    source.sync->on_fetched(m_platform.snapshot(m_now), m_now);
     actions out;
     source.sync->on_change(m_now, out);
     deliver(address_of(source), out);
@@ -279,7 +279,7 @@
     set_routes(m_platform, {make_route({{"svc", 1}}, 444)});
     run(core::milliseconds(500));
     fleet_news news;
-    news.update = behind.view.snapshot();
+    news.update = behind.view.snapshot(m_now);
     actions out;
     at(entry_address).sync->on_news(agent_address(1), news, m_now, out);
     EXPECT_NE(at(entry_address).view.find_route(service_address, 444), nullptr);
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -43,7 +43,7 @@
 // Guards against a removed host that reappears with a repeated, older message.
 TEST_F(fleet_view_test, older_update_does_not_restore_removed_host)
 {
-    fleet_update older = m_view.snapshot();
+    fleet_update older = m_view.snapshot(m_now);
     remove_host(m_view, "i-1");
     m_view.apply(older, m_now);
     EXPECT_FALSE(has_host("i-1"));
--- a/tests/unit/unit-runtime-settings.cpp
+++ b/tests/unit/unit-runtime-settings.cpp
@@ -179,5 +179,15 @@
     }
 }
 
+// Guards against a heartbeat interval that is ignored, or taken although it is out of range.
+TEST(relay_settings_test, host_heartbeat_is_read_and_checked)
+{
+    const std::string text = "role: relay_entry\nname: e\nzone: a\npackets: 10.0.0.1:80\nadmin: 10.0.0.1:81\n"
+                             "peer_port: 82\nplatform: 10.0.0.2:83\nseeds: []\nfirst_start: true\n";
+    EXPECT_EQ(parse_relay_settings(text, "f").host_heartbeat, relay::default_host_heartbeat);
+    EXPECT_EQ(parse_relay_settings(text + "host_heartbeat_ms: 3000\n", "f").host_heartbeat, core::milliseconds(3000));
+    EXPECT_THROW(parse_relay_settings(text + "host_heartbeat_ms: 0\n", "f"), settings_error);
+}
+
 } // namespace
 } // namespace daisydoor::runtime
