Give processes that start with an older copy the newer routes of their peers

Cause: its view was at the same position of the store as its peers', so they had nothing to tell; but theirs had routes from before the restore. Positions order what the store says, not what was confirmed before it lost it. Routes have an order of their own, their version.

News carry the version of the sender's routes; a receiver that is complete by position but has an older version fetches the view. A whole set of routes counts by its version wherever in the history its update belongs, so a peer that is still in the former era can give its routes, and nothing else.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -67,6 +67,8 @@
     std::uint32_t answered = 0;
     /// Era of `after`.
     store_era after_era{};
+    /// Version of the sender's routes; 0 if the message does not tell.
+    route_version version{};
 
     [[nodiscard]] store_position after_position() const noexcept { return {after_era, after}; }
 };
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -105,7 +105,8 @@
   public:
     explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat);
 
-    /// @brief Applies an update; values older than the view's are ignored.
+    /// @brief Applies an update; values older than the view's are ignored. A whole set of routes is older if its
+    /// version is, wherever in the store's history the update belongs.
     view_change apply(const fleet_update& update, core::time_point now);
 
     /// @brief Records that the platform has been reachable again since `at`, after an outage.
@@ -194,6 +195,7 @@
     view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
     [[nodiscard]] std::vector<std::string> hosts_not_named(const fleet_update& whole) const;
+    bool apply_newer_routes(const fleet_update& update);
     bool apply_routes(const route_set& value, relay::revision at);
     bool apply_delta(const route_delta& value, relay::revision at);
     [[nodiscard]] std::vector<route> sorted_routes() const;
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -235,7 +235,8 @@
         const auto update = pack(builder, news->update);
         body = wire::Createfleet_news(builder, to_wire(news->age), to_wire(news->regained),
                                       static_cast<std::uint64_t>(news->after), news->fetch, update, news->answered,
-                                      static_cast<std::uint64_t>(news->after_era))
+                                      static_cast<std::uint64_t>(news->after_era),
+                                      static_cast<std::uint64_t>(news->version))
                    .Union();
     }
     builder.Finish(wire::Createrelay_message(builder, type, body));
@@ -271,7 +272,8 @@
                           news->fetch(),
                           from_wire(*news->update()),
                           news->answered(),
-                          store_era{news->after_era()}};
+                          store_era{news->after_era()},
+                          route_version{news->version()}};
     }
     return std::nullopt;
 }
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -146,6 +146,8 @@
     result.is_older = position < m_position;
     result.is_from_former_era = update.era < m_position.era;
     if (result.is_from_former_era || (!update.whole && position <= m_position)) {
+        // Routes have an order of their own.
+        result.routes = apply_newer_routes(update);
         return result;
     }
     const auto version_before = m_version;
@@ -166,7 +168,8 @@
     const bool is_newer_whole = update.whole && position >= m_position;
     std::vector<fleet_change> applied;
     for (const auto& change : update.changes) {
-        if (!is_newer_whole && change.revision <= m_position.revision) {
+        const bool is_route_set = std::holds_alternative<route_set>(change.value);
+        if (!is_newer_whole && !is_route_set && change.revision <= m_position.revision) {
             continue;
         }
         const auto effect = apply_change(change, now, result.is_new_era);
@@ -416,6 +419,17 @@
     return result;
 }
 
+bool fleet_view::apply_newer_routes(const fleet_update& update)
+{
+    bool result = false;
+    for (const auto& it : update.changes) {
+        if (const auto* routes = std::get_if<route_set>(&it.value)) {
+            result = apply_routes(*routes, m_position.revision) || result;
+        }
+    }
+    return result;
+}
+
 bool fleet_view::apply_routes(const route_set& value, relay::revision at)
 {
     if (value.version <= m_version) {
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -124,6 +124,7 @@
         auto message = news;
         message.age = is_last ? news.age : max_age;
         message.answered = is_last && !news.fetch ? answered : 0;
+        message.version = is_last ? m_view.version() : route_version{};
         news.after = part.revision;
         news.after_era = part.era;
         message.update = std::move(part);
@@ -189,7 +190,9 @@
     }
     // A source that sends an older position has not received the subscription after the latest fetch yet.
     const bool must_fetch = value.fetch && after >= m_view.position();
-    if (is_behind && (must_fetch || result.needs_whole) && !m_fetching) {
+    // The copy that a restored store returned to may have older routes than the source.
+    const bool lacks_routes = value.update.position() <= m_view.position() && value.version > m_view.version();
+    if (((is_behind && (must_fetch || result.needs_whole)) || lacks_routes) && !m_fetching) {
         m_fetching = true;
         out.push_back(fetch_view{from});
     } else if (is_behind && ((value.fetch && !must_fetch) || (!value.fetch && !is_applicable))) {
--- a/tests/support/sync_fleet.cpp
+++ b/tests/support/sync_fleet.cpp
@@ -23,6 +23,7 @@
         subscribe->era = {};
     } else if (auto* news = std::get_if<relay::fleet_news>(&value)) {
         news->after_era = {};
+        news->version = {};
         news->update.era = {};
     }
 }
--- a/tests/unit/unit-relay-restore.cpp
+++ b/tests/unit/unit-relay-restore.cpp
@@ -251,6 +251,59 @@
     }
 }
 
+// Guards against a process that starts with the copy and serves a dropped route, or not an added one, although its
+// peers have the newer version.
+TEST_F(restored_store_test, process_that_starts_with_the_copy_gets_newer_routes_from_peers)
+{
+    publish({443, 444});
+    m_fleet.run(core::milliseconds(500));
+    m_fleet.store.save_copy();
+    publish({443, 445});
+    m_fleet.run(core::milliseconds(500));
+    restore();
+    for (const auto address : {sync_fleet::entry(1), sync_fleet::agent(1), sync_fleet::agent(6)}) {
+        m_fleet.restart(address);
+    }
+    m_fleet.run(core::milliseconds(1200));
+    expect_newest_routes_everywhere();
+    const auto& view = m_fleet.at(sync_fleet::entry(1)).view;
+    EXPECT_EQ(view.find_route(service_address, 444), nullptr);
+    EXPECT_NE(view.find_route(service_address, 445), nullptr);
+}
+
+// Guards against a process without any routes because the copy was made before the operator's first version.
+TEST_F(restored_store_test, process_that_starts_with_a_copy_without_routes_gets_them_from_peers)
+{
+    m_fleet.store = {};
+    m_fleet.store.save_copy();
+    m_fleet.store.publish(m_published);
+    restore();
+    m_fleet.restart(sync_fleet::entry(1));
+    m_fleet.run(core::milliseconds(1500));
+    EXPECT_EQ(m_fleet.at(sync_fleet::entry(1)).view.version(), m_published.version);
+}
+
+// Guards against newer routes that are lost because the only process that has them is still in the former era.
+TEST_F(restored_store_test, newer_routes_of_process_in_former_era_are_taken_alone)
+{
+    m_fleet.store.save_copy();
+    fleet_update former = m_fleet.store.read_all();
+    former.whole = true;
+    former.revision = revision{100};
+    auto routes = m_published;
+    routes.version = route_version{50};
+    former.changes.push_back({revision{100}, routes});
+    former.changes.push_back({revision{99}, make_host(9)});
+    restore();
+    m_fleet.run(core::milliseconds(1500));
+    auto& value = m_fleet.at(sync_fleet::entry(1));
+    const auto position = value.view.position();
+    value.sync->on_fetched(former, m_fleet.now());
+    EXPECT_EQ(value.view.version(), routes.version);
+    EXPECT_EQ(value.view.position(), position);
+    EXPECT_EQ(value.view.hosts().count("i-9"), 0U);
+}
+
 /// Hosts whose entries the copy lacks or still has.
 class restored_hosts_test : public restored_store_test
 {
