Read the published configuration again whatever its value version

Callers: after the platform returned from an older copy, a version that the operator published was not in force at processes that read the platform, until the value versions had passed those of before (seen in a test).

A reader waits for a value version above the highest that it read; a restored platform gives value versions out again. The project's own protocol has no era.

Versions of the content still only rise; a lower one is rejected and reported.

Ruled out: lowering the remembered value version when an older value is read, since a stale replica answers so too.

value_version_given_out_again_after_restore_is_read failed before. With several processes it passed by chance: one that had read little took the new version and told the others.

--- a/src/config/config_sync.cpp
+++ b/src/config/config_sync.cpp
@@ -374,8 +374,10 @@
         it = now >= it->second ? m_impl->next_pull_by_version.erase(it) : std::next(it);
     }
     if (m_impl->directory.is_reader()) {
-        m_impl->platform.ensure_watch(now, std::string(index_key), actions);
-        m_impl->platform.ensure_watch(now, std::string(fleet_key), actions);
+        for (const auto key : {index_key, fleet_key}) {
+            m_impl->platform.ensure_watch(now, std::string(key), actions);
+            m_impl->platform.ensure_reread(now, std::string(key), actions);
+        }
     }
     m_impl->pull_periodically(now, actions);
     m_impl->advance(now, actions);
--- a/src/config/platform_reader.cpp
+++ b/src/config/platform_reader.cpp
@@ -15,6 +15,9 @@
 /// Added to watch_wait before the answer of a watch is considered lost.
 constexpr core::milliseconds watch_response_margin{10000};
 constexpr core::milliseconds min_backoff{1000};
+/// Interval of reads that do not depend on the version of the value: a platform that was restored from an older copy
+/// gives versions out again, which a watch does not return. Below the 15 s in which a change must be in force.
+constexpr core::milliseconds reread_interval{8000};
 /// Without a fleet view every process reads the platform; a longer delay keeps the whole fleet from overloading the
 /// platform when it returns after an outage.
 constexpr core::milliseconds max_backoff{16000};
@@ -47,6 +50,19 @@
         read_platform_value{key, state.last_version, state.last_version ? watch_wait : core::milliseconds(0)});
 }
 
+void platform_reader::ensure_reread(core::time_point now, const std::string& key, std::vector<sync_action>& actions)
+{
+    auto& state = m_keys[key];
+    if (!state.last_version || now < state.next_reread) {
+        return;
+    }
+    const bool is_first = state.next_reread == core::time_point{};
+    state.next_reread = now + reread_interval;
+    if (!is_first) {
+        read(now, key, false, actions);
+    }
+}
+
 bool platform_reader::on_value(core::time_point now, const std::string& key, std::uint64_t value_version)
 {
     auto& state = m_keys[key];
--- a/src/config/platform_reader.hpp
+++ b/src/config/platform_reader.hpp
@@ -23,6 +23,9 @@
     /// @brief Starts a watch unless one is open or the delay after the last one has not passed.
     void ensure_watch(core::time_point now, const std::string& key, std::vector<sync_action>& actions);
 
+    /// @brief Reads a known value again, whatever its version, if the interval since the last such read is over.
+    void ensure_reread(core::time_point now, const std::string& key, std::vector<sync_action>& actions);
+
     /// @brief Call when a read or a watch has returned a value.
     /// @return whether the version equals the highest one that was read before
     bool on_value(core::time_point now, const std::string& key, std::uint64_t value_version);
@@ -43,6 +46,7 @@
         std::optional<core::time_point> watch_expires_at;
         /// Earliest time of the next watch.
         core::time_point next_watch{};
+        core::time_point next_reread{};
         core::duration backoff{};
         std::size_t pending_reads = 0;
     };
--- a/tests/unit/unit-config-sync.cpp
+++ b/tests/unit/unit-config-sync.cpp
@@ -165,6 +165,33 @@
     EXPECT_EQ(entry.current()->version, core::config_version{5});
 }
 
+// Guards against a version that is never in force because the platform, restored from an older copy, gives it a value
+// version that was read before.
+TEST_F(config_sync_test, value_version_given_out_again_after_restore_is_read)
+{
+    // No other process can help out with a read of its own.
+    net.publish(two_service_deployment(1));
+    net.add_entry(1, "zone-a");
+    net.run(in_force_limit);
+    for (std::uint64_t version = 2; version <= 5; ++version) {
+        net.publish(two_service_deployment(version));
+        net.run(in_force_limit);
+    }
+    ASSERT_TRUE(net.all_have_version(5));
+    net.is_platform_up = false;
+    net.run(core::seconds(2));
+    for (const auto& [key, content] : two_service_deployment(2).values()) {
+        net.publish_value(key, 2, content);
+    }
+    net.is_platform_up = true;
+    net.run(core::seconds(5));
+    EXPECT_TRUE(net.all_have_version(5)) << "the copy is older than what is in force";
+    net.publish(two_service_deployment(6));
+    net.run(in_force_limit);
+    EXPECT_TRUE(net.all_have_version(6));
+    EXPECT_TRUE(net.versions_never_decreased());
+}
+
 // Guards against processes that use different contents under the same version.
 TEST_F(config_sync_test, publish_same_version_other_content_rejected)
 {
