Pass on that a host's entry is missing, and count a dispute from the last restore

Cause: a dispute ended 5.6 s after the first restore, though the platform counts the time without a write anew after each. And a peer's word that an entry is missing was dropped where the process knew a later write, or where the entry had not changed since the beginning of the era.

The three new tests fail without the change.

--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -181,16 +181,18 @@
     };
 
     bool apply_host(const fleet_change& change, core::time_point now);
+    /// @brief Time after which an entry that is still at the platform was written by a live host.
+    [[nodiscard]] core::milliseconds dispute_time() const noexcept;
     /// @brief Applies an entry that may be of the copy, and then older than the view's.
     bool apply_copied_host(const fleet_change& change, core::time_point now);
     bool apply_removal(const std::string& id, relay::revision at, core::time_point now, bool is_new_era);
     void forget_host(std::map<std::string, known_host>::iterator it, core::time_point now);
-    /// @brief The change as subscribers need it: a host with its dispute.
+    /// @brief The change as subscribers need it: a host with its grace time and dispute.
     [[nodiscard]] fleet_change as_applied(const fleet_change& change, core::time_point now) const;
     /// @brief Whether the first difference of routes applies to a version that the view does not have.
     [[nodiscard]] bool has_unknown_base(const fleet_update& update) const;
     /// @brief Moves on to the era of an update, at revision 0.
-    void begin_era(const fleet_update& update);
+    void begin_era(const fleet_update& update, core::time_point now);
     /// @brief Applies one change. @return what it changed
     view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -50,6 +50,11 @@
     return std::max(std::chrono::duration_cast<core::milliseconds>(*end - now), core::milliseconds(1));
 }
 
+std::optional<core::time_point> end_of(core::milliseconds time, core::time_point now)
+{
+    return time.count() > 0 ? std::optional(now + time) : std::nullopt;
+}
+
 bool is_route_before(const route& a, const route& b) noexcept
 {
     return std::tie(a.address, a.port) < std::tie(b.address, b.port);
@@ -123,7 +128,7 @@
     return false;
 }
 
-void fleet_view::begin_era(const fleet_update& update)
+void fleet_view::begin_era(const fleet_update& update, core::time_point now)
 {
     m_has_changed_era = m_position != store_position{};
     if (m_has_changed_era) {
@@ -135,6 +140,10 @@
     // Revisions of the former era say nothing about the order of changes in this one.
     for (auto& [id, entry] : m_hosts) {
         entry.revision = relay::revision{};
+        if (entry.disputed_until) {
+            // The platform counts the time without a write anew.
+            entry.disputed_until = now + dispute_time();
+        }
     }
     m_position = {update.era, relay::revision{}};
 }
@@ -161,7 +170,7 @@
         return result;
     }
     if (update.era > m_position.era) {
-        begin_era(update);
+        begin_era(update, now);
         result.is_new_era = !is_first;
     }
     // The state is complete up to m_position: an older change is a duplicate, or was replaced since.
@@ -305,7 +314,9 @@
     auto [it, added] = m_hosts.try_emplace(value.id);
     auto& entry = it->second;
     const auto at = change.revision;
-    if (!added && (at < entry.revision || (at == entry.revision && !entry.grace_ends_at))) {
+    // A peer may know that an entry is missing which has not changed since the beginning of the era.
+    const bool is_repeated = at == entry.revision && !entry.grace_ends_at && change.grace.count() == 0;
+    if (!added && (at < entry.revision || is_repeated)) {
         return false;
     }
     const bool is_certain = !entry.grace_ends_at && !entry.disputed_until && change.grace.count() == 0;
@@ -318,12 +329,17 @@
     entry.service = intern(value.service);
     entry.rendezvous_key = rendezvous_key_of(value);
     entry.in_own_zone = value.availability_zone == m_own_zone;
-    entry.grace_ends_at = change.grace.count() > 0 ? std::optional(now + change.grace) : std::nullopt;
-    entry.disputed_until = change.disputed.count() > 0 ? std::optional(now + change.disputed) : std::nullopt;
+    entry.grace_ends_at = end_of(change.grace, now);
+    entry.disputed_until = end_of(change.disputed, now);
     m_removed_hosts.erase(value.id);
     return true;
 }
 
+core::milliseconds fleet_view::dispute_time() const noexcept
+{
+    return m_host_heartbeat * heartbeats_until_removal + lapsed_entry_grace;
+}
+
 bool fleet_view::apply_copied_host(const fleet_change& change, core::time_point now)
 {
     const auto& value = std::get<host>(change.value);
@@ -332,7 +348,8 @@
         const bool is_repeated = entry.disputed_until && !is_earlier_write(entry.value, value);
         if (is_earlier_write(value, entry.value) || is_repeated) {
             entry.revision = change.revision;
-            return std::exchange(entry.grace_ends_at, std::nullopt).has_value();
+            const auto grace_ends_at = end_of(change.grace, now);
+            return std::exchange(entry.grace_ends_at, grace_ends_at).has_value() != grace_ends_at.has_value();
         }
         return apply_host(change, now);
     }
@@ -342,7 +359,7 @@
         return apply_host(change, now);
     }
     auto disputed = change;
-    disputed.disputed = std::max(change.disputed, m_host_heartbeat * heartbeats_until_removal + lapsed_entry_grace);
+    disputed.disputed = std::max(change.disputed, dispute_time());
     return apply_host(disputed, now);
 }
 
@@ -352,6 +369,7 @@
     if (const auto* value = std::get_if<host>(&change.value)) {
         if (const auto it = m_hosts.find(value->id); it != m_hosts.end()) {
             result.value = it->second.value;
+            result.grace = remaining(it->second.grace_ends_at, now);
             result.disputed = remaining(it->second.disputed_until, now);
         }
     }
--- a/tests/support/sync_fleet.cpp
+++ b/tests/support/sync_fleet.cpp
@@ -63,6 +63,12 @@
     m_history_start = m_revision;
 }
 
+const relay::host* simulated_store::find(const std::string& id) const
+{
+    const auto it = m_hosts.find(id);
+    return it != m_hosts.end() ? std::get_if<relay::host>(&it->second.value) : nullptr;
+}
+
 relay::fleet_update simulated_store::read_all() const
 {
     relay::fleet_update result;
--- a/tests/support/sync_fleet.hpp
+++ b/tests/support/sync_fleet.hpp
@@ -33,6 +33,8 @@
     [[nodiscard]] relay::store_era era() const { return relay::store_era{m_era}; }
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     [[nodiscard]] bool has(const std::string& id) const { return m_hosts.count(id) != 0; }
+    /// @return nullptr if there is no entry
+    [[nodiscard]] const relay::host* find(const std::string& id) const;
     [[nodiscard]] const relay::route_set& routes() const { return m_routes; }
 
   private:
--- a/tests/unit/unit-relay-restore.cpp
+++ b/tests/unit/unit-relay-restore.cpp
@@ -462,6 +462,84 @@
     EXPECT_EQ(users_of("i-7"), 0U);
 }
 
+// Guards against a dispute that ends while the store, restored again, still counts the time without a write.
+TEST_F(restored_hosts_test, dispute_lasts_until_the_last_restore_is_over)
+{
+    m_fleet.store.put(written(5, 4));
+    m_fleet.store.save_copy();
+    m_fleet.store.remove("i-5");
+    m_fleet.run(core::milliseconds(3000));
+    restore();
+    m_fleet.run(core::milliseconds(3500));
+    restore();
+    for (int i = 0; i < 35; ++i) {
+        m_fleet.run(core::milliseconds(100));
+        ASSERT_EQ(users_of("i-5"), 0U);
+    }
+}
+
+/// Views that follow the store into a new era and tell others.
+class restored_view_test : public relay_fixture
+{
+  protected:
+    static fleet_update whole(std::uint64_t era, std::uint64_t at)
+    {
+        fleet_update result;
+        result.era = store_era{era};
+        result.revision = revision{at};
+        result.whole = true;
+        return result;
+    }
+
+    static fleet_change host_at(std::uint64_t at, std::uint32_t n, std::uint64_t sequence,
+                                host_state state = host_state::ready)
+    {
+        auto value = make_host(n);
+        value.sequence = sequence;
+        value.state = state;
+        return {revision{at}, value};
+    }
+
+    static fleet_change routes_at(std::uint64_t at, std::uint64_t version)
+    {
+        route_set value;
+        value.version = route_version{version};
+        value.routes = {make_route({{"svc", 1}}, static_cast<std::uint16_t>(400 + version))};
+        return {revision{at}, value};
+    }
+
+    fleet_view m_view{"a"};
+};
+
+// Guards against a host that stays for ever at a process that knew a later write than the peer which tells that its
+// entry is missing.
+TEST_F(restored_view_test, missing_host_with_later_write_gets_grace)
+{
+    auto first = whole(1, 20);
+    first.changes = {routes_at(5, 1), host_at(20, 1, 2, host_state::draining)};
+    m_view.apply(first, m_now);
+    auto told = whole(2, 10);
+    told.changes = {routes_at(5, 1), host_at(10, 1, 1)};
+    told.changes.back().grace = core::milliseconds(500);
+    m_view.apply(told, m_now);
+    advance(core::milliseconds(501));
+    EXPECT_EQ(m_view.expire(m_now), 1U);
+}
+
+// Guards against the same if the entry has not changed since the era began.
+TEST_F(restored_view_test, missing_host_that_is_unchanged_gets_grace)
+{
+    auto first = whole(1, 20);
+    first.changes = {routes_at(5, 1), host_at(20, 1, 2)};
+    m_view.apply(first, m_now);
+    auto told = whole(2, 10);
+    told.changes = {routes_at(5, 1), host_at(0, 1, 2)};
+    told.changes.back().grace = core::milliseconds(500);
+    m_view.apply(told, m_now);
+    advance(core::milliseconds(501));
+    EXPECT_EQ(m_view.expire(m_now), 1U);
+}
+
 class restored_reader_test : public relay_fixture
 {
   protected:
