Tell the difference of a whole read only to views at the position before it

Cause: a source that reads everything, after a 410, knows what is there now and what it had before. It does not know what came and went in between, but its log of changes claimed to continue through that time: a subscriber with a host that was added and removed meanwhile was told neither. The same holds at the end of an era.

The log starts anew with a whole read. The difference that the read made is marked exact and applies only at the position before it; others fetch. A receiver that applies an exact difference marks its own log so.

difference_of_whole_read_is_for_view_before_it_only: the log used to answer for position 15, without the removal.

--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -173,6 +173,9 @@
     std::vector<std::string> rejected;
     /// Era of the store that the revisions belong to.
     store_era era{};
+    /// The changes come from a whole read: they lack what came and went since the position before, and apply only to
+    /// that very position.
+    bool exact = false;
 
     [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -161,8 +161,8 @@
     /// @brief The whole state as an update, for a peer without any state.
     [[nodiscard]] fleet_update snapshot(core::time_point now) const;
 
-    /// @brief Changes after a position, or nullopt if the log does not have them all. The log continues from the end of
-    /// the former era to the present one.
+    /// @brief Changes after a position, or nullopt if the log does not have them all. The log starts with the
+    /// difference that the last whole read made, which only a view at the position before it can use.
     [[nodiscard]] std::optional<fleet_update> changes_after(store_position after) const;
 
     /// @brief When the platform last became reachable again, or nullopt if there was no outage.
@@ -191,6 +191,8 @@
     [[nodiscard]] fleet_change as_applied(const fleet_change& change, core::time_point now) const;
     /// @brief Whether the first difference of routes applies to a version that the view does not have.
     [[nodiscard]] bool has_unknown_base(const fleet_update& update) const;
+    /// @brief Starts the log anew with an update that is a difference to the present position only.
+    void restart_log(const fleet_update& update);
     /// @brief Moves on to the era of an update, at revision 0.
     void begin_era(const fleet_update& update, core::time_point now);
     /// @brief Applies one change. @return what it changed
@@ -226,8 +228,8 @@
     /// Changes after m_log_start, oldest first; bounded.
     std::deque<fleet_change> m_log;
     relay::revision m_log_start{};
-    /// End of the former era, while the log has all changes since.
-    std::optional<store_position> m_former_era_end;
+    /// Position before the first change of the log, if the log starts with a difference to it.
+    std::optional<store_position> m_log_base;
 };
 
 /// Entries that lapsed during an outage of the platform are registered again within about this time (2 s) after its
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -104,7 +104,7 @@
         changes.push_back(pack(builder, it));
     }
     return wire::Createfleet_update(builder, static_cast<std::uint64_t>(value.revision), value.whole,
-                                    builder.CreateVector(changes), static_cast<std::uint64_t>(value.era));
+                                    builder.CreateVector(changes), static_cast<std::uint64_t>(value.era), value.exact);
 }
 
 host from_wire(const wire::fleet_host& value)
@@ -167,6 +167,7 @@
     result.revision = revision{value.revision()};
     result.whole = value.whole();
     result.era = store_era{value.era()};
+    result.exact = value.exact();
     for (const auto* it : *value.changes()) {
         fleet_change change;
         change.revision = revision{it->revision()};
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -128,14 +128,17 @@
     return false;
 }
 
-void fleet_view::begin_era(const fleet_update& update, core::time_point now)
+void fleet_view::restart_log(const fleet_update& update)
 {
-    m_has_changed_era = m_position != store_position{};
-    if (m_has_changed_era) {
-        m_former_era_end = m_position;
-    }
+    m_log_base = m_position != store_position{} ? std::optional(m_position) : std::nullopt;
     m_log.clear();
     m_log_start = update.revision;
+}
+
+void fleet_view::begin_era(const fleet_update& update, core::time_point now)
+{
+    m_has_changed_era = m_position != store_position{};
+    restart_log(update);
     m_era_start = update.revision;
     // Revisions of the former era say nothing about the order of changes in this one.
     for (auto& [id, entry] : m_hosts) {
@@ -172,6 +175,8 @@
     if (update.era > m_position.era) {
         begin_era(update, now);
         result.is_new_era = !is_first;
+    } else if (update.exact || (update.whole && position > m_position)) {
+        restart_log(update);
     }
     // The state is complete up to m_position: an older change is a duplicate, or was replaced since.
     const bool is_newer_whole = update.whole && position >= m_position;
@@ -255,23 +260,24 @@
     while (m_log.size() > max_logged_changes) {
         m_log_start = std::max(m_log_start, m_log.front().revision);
         m_log.pop_front();
-        m_former_era_end.reset();
+        m_log_base.reset();
     }
 }
 
 std::optional<fleet_update> fleet_view::changes_after(store_position after) const
 {
-    const bool is_former_end = m_former_era_end && after == *m_former_era_end;
+    const bool is_base = m_log_base && after == *m_log_base;
     const bool is_logged =
         after.era == m_position.era && after.revision >= m_log_start && after.revision <= m_position.revision;
-    if (!is_former_end && !is_logged) {
+    if (!is_base && !is_logged) {
         return std::nullopt;
     }
     fleet_update result;
     result.era = m_position.era;
     result.revision = m_position.revision;
+    result.exact = is_base;
     std::copy_if(m_log.begin(), m_log.end(), std::back_inserter(result.changes),
-                 [&](const fleet_change& it) { return is_former_end || it.revision > after.revision; });
+                 [&](const fleet_change& it) { return is_base || it.revision > after.revision; });
     return result;
 }
 
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -166,10 +166,12 @@
         auto& part = result.back();
         part.revision = group.revision;
         part.era = value.era;
+        part.exact = value.exact;
         std::move(group.changes.begin(), group.changes.end(), std::back_inserter(part.changes));
     }
     result.back().revision = value.revision;
     result.back().era = value.era;
+    result.back().exact = value.exact;
     return result.size() <= max_update_datagrams ? result : std::vector<fleet_update>();
 }
 
@@ -182,9 +184,8 @@
     view_change result;
     const bool is_behind = value.update.position() > m_view.position();
     const auto after = value.after_position();
-    // The difference between two eras applies only to the end of the former one.
-    const bool is_applicable =
-        value.update.era == m_view.era() ? after <= m_view.position() : after == m_view.position();
+    const bool is_exact = value.update.exact || value.update.era != m_view.era();
+    const bool is_applicable = is_exact ? after == m_view.position() : after <= m_view.position();
     if (is_behind && !value.fetch && is_applicable) {
         result = m_view.apply(value.update, now);
     }
--- a/tests/unit/unit-relay-restore.cpp
+++ b/tests/unit/unit-relay-restore.cpp
@@ -540,6 +540,24 @@
     EXPECT_EQ(m_view.expire(m_now), 1U);
 }
 
+// Guards against a host that stays for ever: it was removed between the revisions of a source's whole read, so that the
+// source never knew it.
+TEST_F(restored_view_test, difference_of_whole_read_is_for_view_before_it_only)
+{
+    auto first = whole(1, 10);
+    first.changes = {routes_at(5, 1)};
+    m_view.apply(first, m_now);
+    auto later = whole(1, 20);
+    later.changes = {routes_at(5, 1), host_at(20, 2, 1)};
+    m_view.apply(later, m_now);
+    EXPECT_FALSE(m_view.changes_after({store_era{1}, revision{15}})) << "has a host that came at 12 and went at 17";
+    const auto difference = m_view.changes_after({store_era{1}, revision{10}});
+    ASSERT_TRUE(difference);
+    EXPECT_TRUE(difference->exact);
+    ASSERT_TRUE(m_view.changes_after({store_era{1}, revision{20}}));
+    EXPECT_FALSE(m_view.changes_after({store_era{1}, revision{20}})->exact);
+}
+
 class restored_reader_test : public relay_fixture
 {
   protected:
