Never tell a revision above the position of the view

Cause: a view that follows the store into a new era kept the revision of the former era for routes that did not change, and revision 0 for hosts. Told to a peer, the first looks like a position ahead of everything, so that the peer skips what really follows; the second looks older than the peer's. A later page of a whole read, which may be ahead of the read's revision, has the same effect as the first, also without a restore.

What an update leaves unchanged at the beginning of an era gets the update's revision, and the log takes nothing above the revision of an update; the watch returns it again. Both new tests failed before.

--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -195,6 +195,8 @@
     void restart_log(const fleet_update& update);
     /// @brief Moves on to the era of an update, at revision 0.
     void begin_era(const fleet_update& update, core::time_point now);
+    /// @brief Gives what an update did not change at the beginning of an era the update's revision.
+    void confirm_unchanged_values(relay::revision at);
     /// @brief Applies one change. @return what it changed
     view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
@@ -203,7 +205,7 @@
     bool apply_routes(const route_set& value, relay::revision at);
     bool apply_delta(const route_delta& value, relay::revision at);
     [[nodiscard]] std::vector<route> sorted_routes() const;
-    void append_to_log(const std::vector<fleet_change>& changes, route_version routes_before,
+    void append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to, route_version routes_before,
                        const std::vector<route>& before);
     void index_hosts();
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -128,6 +128,14 @@
     return false;
 }
 
+void fleet_view::confirm_unchanged_values(relay::revision at)
+{
+    for (auto& [id, entry] : m_hosts) {
+        entry.revision = entry.revision == relay::revision{} ? at : entry.revision;
+    }
+    m_routes_revision = m_routes_revision == relay::revision{} ? at : m_routes_revision;
+}
+
 void fleet_view::restart_log(const fleet_update& update)
 {
     m_log_base = m_position != store_position{} ? std::optional(m_position) : std::nullopt;
@@ -148,6 +156,7 @@
             entry.disputed_until = now + dispute_time();
         }
     }
+    m_routes_revision = {};
     m_position = {update.era, relay::revision{}};
 }
 
@@ -168,7 +177,7 @@
     });
     const auto routes_before = has_routes ? sorted_routes() : std::vector<route>();
     const bool is_first = m_position == store_position{};
-    if (update.era > m_position.era && has_unknown_base(update)) {
+    if ((update.era > m_position.era || update.exact) && has_unknown_base(update)) {
         result.needs_whole = true;
         return result;
     }
@@ -194,7 +203,7 @@
             // Subscribers get the difference between the eras at once.
             applied.push_back(as_applied(change, now));
             if (update.whole) {
-                applied.back().revision = std::max(change.revision, update.revision);
+                applied.back().revision = update.revision;
             }
         }
     }
@@ -205,12 +214,15 @@
             removals.push_back({update.revision, host_removed{std::move(id)}});
         }
     }
+    if (result.is_new_era) {
+        confirm_unchanged_values(update.revision);
+    }
     if (!result.needs_whole) {
         if (is_first) {
             // The log starts after the first update.
             m_log_start = update.revision;
         } else {
-            append_to_log(result.is_new_era ? applied : update.changes, version_before, routes_before);
+            append_to_log(result.is_new_era ? applied : update.changes, update.revision, version_before, routes_before);
             std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
         }
         m_position = std::max(m_position, position);
@@ -238,12 +250,13 @@
     return result;
 }
 
-void fleet_view::append_to_log(const std::vector<fleet_change>& changes, route_version routes_before,
-                               const std::vector<route>& before)
+void fleet_view::append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to,
+                               route_version routes_before, const std::vector<route>& before)
 {
     std::vector<const fleet_change*> newer;
     for (const auto& change : changes) {
-        if (change.revision > m_position.revision) {
+        // A later page of a whole read may be ahead of the read's revision; the watch returns such changes again.
+        if (change.revision > m_position.revision && change.revision <= up_to) {
             newer.push_back(&change);
         }
     }
--- a/tests/unit/unit-relay-restore.cpp
+++ b/tests/unit/unit-relay-restore.cpp
@@ -558,6 +558,41 @@
     EXPECT_FALSE(m_view.changes_after({store_era{1}, revision{20}})->exact);
 }
 
+// Guards against revisions of the former era in messages about the new one, which receivers take for a higher position.
+TEST_F(restored_view_test, unchanged_values_have_no_revision_above_the_position)
+{
+    auto first = whole(1, 50);
+    first.changes = {routes_at(48, 3), host_at(50, 1, 1), host_at(40, 2, 1)};
+    m_view.apply(first, m_now);
+    auto copy = whole(2, 30);
+    copy.changes = {routes_at(20, 2), host_at(21, 1, 1), host_at(22, 2, 1)};
+    m_view.apply(copy, m_now);
+    for (const auto& it : m_view.snapshot(m_now).changes) {
+        EXPECT_LE(it.revision, revision{30});
+        EXPECT_GT(it.revision, revision{0});
+    }
+}
+
+// Guards against changes that receivers skip: a later page of a whole read can be ahead of the read's revision.
+TEST_F(restored_view_test, later_page_ahead_of_whole_read_is_not_told_early)
+{
+    auto first = whole(1, 10);
+    first.changes = {routes_at(5, 1)};
+    m_view.apply(first, m_now);
+    auto pages = whole(1, 20);
+    pages.changes = {host_at(15, 1, 1), host_at(25, 2, 1), routes_at(5, 1)};
+    m_view.apply(pages, m_now);
+    fleet_update watch;
+    watch.era = store_era{1};
+    watch.revision = revision{25};
+    watch.changes = {host_at(22, 3, 1), host_at(25, 2, 1)};
+    m_view.apply(watch, m_now);
+    const auto told = m_view.changes_after({store_era{1}, revision{10}});
+    ASSERT_TRUE(told);
+    EXPECT_TRUE(std::is_sorted(told->changes.begin(), told->changes.end(),
+                               [](const auto& a, const auto& b) { return a.revision < b.revision; }));
+}
+
 class restored_reader_test : public relay_fixture
 {
   protected:
