Apply an update of the fleet view as a whole or not at all

Cause: an update whose difference of routes could not be applied still removed hosts, while the view kept its position. The whole read that followed found no difference in these hosts, so the process never told its subscribers.

The versions of all differences are checked before anything is applied. update_with_unknown_base_changes_nothing failed before.

--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -189,7 +189,7 @@
     void forget_host(std::map<std::string, known_host>::iterator it, core::time_point now);
     /// @brief The change as subscribers need it: a host with its grace time and dispute.
     [[nodiscard]] fleet_change as_applied(const fleet_change& change, core::time_point now) const;
-    /// @brief Whether the first difference of routes applies to a version that the view does not have.
+    /// @brief Whether a difference of routes applies to a version that the view does not have.
     [[nodiscard]] bool has_unknown_base(const fleet_update& update) const;
     /// @brief Starts the log anew with an update that is a difference to the present position only.
     void restart_log(const fleet_update& update);
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -113,16 +113,22 @@
         result.routes = apply_routes(*routes, change.revision);
     } else if (const auto* delta = std::get_if<route_delta>(&change.value)) {
         result.routes = apply_delta(*delta, change.revision);
-        result.needs_whole = !result.routes && delta->version > m_version;
     }
     return result;
 }
 
 bool fleet_view::has_unknown_base(const fleet_update& update) const
 {
+    auto version = m_version;
     for (const auto& it : update.changes) {
-        if (const auto* delta = std::get_if<route_delta>(&it.value)) {
-            return delta->base != m_version && delta->version > m_version;
+        if (const auto* routes = std::get_if<route_set>(&it.value)) {
+            version = std::max(version, routes->version);
+        } else if (const auto* delta = std::get_if<route_delta>(&it.value);
+                   delta != nullptr && delta->version > version) {
+            if (delta->base != version) {
+                return true;
+            }
+            version = delta->version;
         }
     }
     return false;
@@ -177,7 +183,8 @@
     });
     const auto routes_before = has_routes ? sorted_routes() : std::vector<route>();
     const bool is_first = m_position == store_position{};
-    if ((update.era > m_position.era || update.exact) && has_unknown_base(update)) {
+    // An update is applied as a whole or not at all: the position tells peers what the view has.
+    if (has_unknown_base(update)) {
         result.needs_whole = true;
         return result;
     }
@@ -198,7 +205,6 @@
         const auto effect = apply_change(change, now, result.is_new_era);
         result.hosts += effect.hosts;
         result.routes = result.routes || effect.routes;
-        result.needs_whole = result.needs_whole || effect.needs_whole;
         if (result.is_new_era && effect.changes_view()) {
             // Subscribers get the difference between the eras at once.
             applied.push_back(as_applied(change, now));
@@ -217,16 +223,14 @@
     if (result.is_new_era) {
         confirm_unchanged_values(update.revision);
     }
-    if (!result.needs_whole) {
-        if (is_first) {
-            // The log starts after the first update.
-            m_log_start = update.revision;
-        } else {
-            append_to_log(result.is_new_era ? applied : update.changes, update.revision, version_before, routes_before);
-            std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
-        }
-        m_position = std::max(m_position, position);
+    if (is_first) {
+        // The log starts after the first update.
+        m_log_start = update.revision;
+    } else {
+        append_to_log(result.is_new_era ? applied : update.changes, update.revision, version_before, routes_before);
+        std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
     }
+    m_position = std::max(m_position, position);
     if (result.hosts > 0) {
         index_hosts();
     }
--- a/tests/unit/unit-relay-restore.cpp
+++ b/tests/unit/unit-relay-restore.cpp
@@ -593,6 +593,24 @@
                                [](const auto& a, const auto& b) { return a.revision < b.revision; }));
 }
 
+// Guards against a host whose removal peers never hear of: it was applied with an update that could not be used.
+TEST_F(restored_view_test, update_with_unknown_base_changes_nothing)
+{
+    auto first = whole(1, 10);
+    first.changes = {routes_at(5, 1), host_at(6, 1, 1)};
+    m_view.apply(first, m_now);
+    fleet_update update;
+    update.era = store_era{1};
+    update.revision = revision{12};
+    route_delta delta;
+    delta.base = route_version{2};
+    delta.version = route_version{3};
+    update.changes = {{revision{11}, host_removed{"i-1"}}, {revision{12}, delta}};
+    EXPECT_TRUE(m_view.apply(update, m_now).needs_whole);
+    EXPECT_EQ(m_view.hosts().count("i-1"), 1U);
+    EXPECT_EQ(m_view.revision(), revision{10});
+}
+
 class restored_reader_test : public relay_fixture
 {
   protected:
