--- a/tests/standins/relay/soak.cpp
+++ b/tests/standins/relay/soak.cpp
@@ -27,7 +27,7 @@
     const int host = pick(environment.hosts());
     const auto name = [machine](const char* what) { return std::string(what) + ' ' + std::to_string(machine); };
     const auto restart = [&environment, machine] { environment.restart(machine); };
-    constexpr int kinds = 10;
+    constexpr int kinds = 12;
     switch (pick(kinds)) {
     case 0:
         environment.kill(machine);
@@ -68,6 +68,15 @@
                         environment.restart(i);
                     }
                 }};
+    case 9:
+        environment.set_store(store_mode::busy);
+        return {"restore store", [&environment] {
+                    environment.restore_store();
+                    environment.set_store(store_mode::normal);
+                }};
+    case 10:
+        environment.save_store_copy();
+        return {"save copy of store", [] {}};
     default:
         environment.publish(pick(2) == 0);
         return {"publish", [] {}};
@@ -84,6 +93,7 @@
         result.violations.emplace_back("fewer than 20 requests were answered within 15 s of the clients' start");
         return result;
     }
+    environment.save_store_copy();
     std::mt19937_64 random(options.seed);
     std::vector<active_fault> open;
     for (core::milliseconds used{0}; used < time;) {
--- a/tests/standins/relay/store.cpp
+++ b/tests/standins/relay/store.cpp
@@ -73,6 +73,17 @@
     return it != m_items.end() ? it->second.value : "";
 }
 
+std::vector<std::string> store::keys(const std::string& prefix) const
+{
+    std::vector<std::string> result;
+    for (const auto& [key, it] : m_items) {
+        if (!it.removed && key.compare(0, prefix.size(), prefix) == 0) {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
 void store::compact() { m_history_start = m_revision; }
 
 void store::save_copy()
--- a/tests/standins/relay/store.hpp
+++ b/tests/standins/relay/store.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct evhttp;
 struct evhttp_request;
@@ -43,6 +44,8 @@
     void remove(const std::string& key);
     /// @return the value, or an empty string if there is none
     [[nodiscard]] std::string value(const std::string& key) const;
+    /// @brief Keys that begin with a prefix and have a value.
+    [[nodiscard]] std::vector<std::string> keys(const std::string& prefix) const;
     /// @brief Drops the history, so that older watches get 410.
     void compact();
     /// @brief Makes the copy that restore() returns to.
--- a/tests/standins/relay/world.cpp
+++ b/tests/standins/relay/world.cpp
@@ -1,5 +1,6 @@
 #include "standins/relay/world.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -32,6 +33,12 @@
 constexpr const char* configuration_key = "op/config";
 /// Time after which the operator and the hosts write again what a restored store has lost.
 constexpr core::milliseconds rewrite_delay{500};
+/// Time after which the store removes the entry of a host that does not write: three heartbeats of 1.2 s.
+constexpr core::milliseconds entry_lapse_time{3600};
+/// Time after the last fault in which a change must be in force (ContactMs and ConfigApplyMs).
+constexpr core::milliseconds apply_limit{7000};
+constexpr core::milliseconds apply_check_interval{200};
+constexpr const char* hosts_prefix = "servers/";
 constexpr core::milliseconds step{20};
 /// Time after a fault in which the system may reset open flows (ContactMs).
 constexpr core::milliseconds allowed_reset_time{4000};
@@ -126,7 +133,7 @@
                      {"ColdRemainingMs", 0},
                      {"Sequence", ++m_sequences[i]},
                      {"born", 1'700'000'000'000 + m_incarnations[i]}};
-    const auto key = "servers/" + options.id;
+    const auto key = hosts_prefix + options.id;
     m_published[key] = value.dump();
     m_store->put(key, m_published[key]);
 }
@@ -161,7 +168,7 @@
     }
     for (int i = 0; i < m_options.hosts; ++i) {
         const auto index = static_cast<std::size_t>(i);
-        const auto key = "servers/" + m_hosts[index]->options().id;
+        const auto key = hosts_prefix + m_hosts[index]->options().id;
         if (m_store->value(key) != m_published.at(key)) {
             publish_host(i, m_draining[index] ? "draining" : "ready");
         }
@@ -173,6 +180,45 @@
     record_fault_time();
     m_store->restore();
     m_loop.after(rewrite_delay, [this] { publish_again(); });
+    m_loop.after(entry_lapse_time, [this] { remove_lapsed_entries(); });
+}
+
+void world::remove_lapsed_entries()
+{
+    for (const auto& key : m_store->keys(hosts_prefix)) {
+        const bool is_live = std::any_of(m_hosts.begin(), m_hosts.end(),
+                                         [&key](const auto& it) { return hosts_prefix + it->options().id == key; });
+        if (!is_live) {
+            m_store->remove(key);
+        }
+    }
+}
+
+bool world::has_newest_routes(const machine& value) const
+{
+    std::ifstream in(m_options.folder + '/' + value.name + ".log");
+    std::string newest;
+    for (std::string line; std::getline(in, line);) {
+        newest = line.find("[1105]") != std::string::npos ? line : newest;
+    }
+    return newest.find("version=" + std::to_string(m_version) + ' ') != std::string::npos;
+}
+
+void world::await_newest_routes()
+{
+    const auto is_behind = [this](const machine& it) { return !has_newest_routes(it); };
+    for (core::milliseconds used{0}; used < apply_limit; used += apply_check_interval) {
+        if (std::none_of(m_machines.begin(), m_machines.end(), is_behind)) {
+            return;
+        }
+        run(apply_check_interval);
+    }
+    for (const auto& it : m_machines) {
+        if (is_behind(it)) {
+            m_record.add_violation(it.name + " does not have version " + std::to_string(m_version) +
+                                   " of the routes 7 s after the faults");
+        }
+    }
 }
 
 bool world::start()
@@ -294,7 +340,7 @@
 {
     record_fault_time();
     const auto i = static_cast<std::size_t>(index);
-    m_store->remove("servers/" + m_hosts[i]->options().id);
+    m_store->remove(hosts_prefix + m_hosts[i]->options().id);
     m_hosts[i].reset();
     start_host(index);
 }
@@ -332,6 +378,7 @@
 
 std::vector<std::string> world::finish()
 {
+    await_newest_routes();
     for (const auto& it : m_clients) {
         it->stop();
     }
--- a/tests/standins/relay/world.hpp
+++ b/tests/standins/relay/world.hpp
@@ -93,6 +93,12 @@
     void publish_host(int index, const char* state);
     /// @brief Writes again what the store does not have any more.
     void publish_again();
+    /// @brief Removes the entries of hosts that write no more, which a copy has brought back.
+    void remove_lapsed_entries();
+    /// @brief Waits until every process has the operator's newest routes; adds a violation for each that has not in
+    /// time.
+    void await_newest_routes();
+    [[nodiscard]] bool has_newest_routes(const machine& value) const;
     void add_clients();
     bool is_reset_allowed(const flow_id& id) const;
     void record_fault_time();
