--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -197,6 +197,10 @@
     void begin_era(const fleet_update& update, core::time_point now);
     /// @brief Gives what an update did not change at the beginning of an era the update's revision.
     void confirm_unchanged_values(relay::revision at);
+    /// @brief Applies the changes of an update and adds what they changed to `result`.
+    /// @return the changes that had an effect, as subscribers in the former era need them
+    std::vector<fleet_change> apply_changes(const fleet_update& update, bool is_newer_whole, core::time_point now,
+                                            view_change& result);
     /// @brief Applies one change. @return what it changed
     view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -166,6 +166,28 @@
     m_position = {update.era, relay::revision{}};
 }
 
+std::vector<fleet_change> fleet_view::apply_changes(const fleet_update& update, bool is_newer_whole,
+                                                    core::time_point now, view_change& result)
+{
+    std::vector<fleet_change> applied;
+    for (const auto& change : update.changes) {
+        const bool is_route_set = std::holds_alternative<route_set>(change.value);
+        if (!is_newer_whole && !is_route_set && change.revision <= m_position.revision) {
+            continue;
+        }
+        const auto effect = apply_change(change, now, result.is_new_era);
+        result.hosts += effect.hosts;
+        result.routes = result.routes || effect.routes;
+        if (effect.changes_view()) {
+            applied.push_back(as_applied(change, now));
+            if (update.whole) {
+                applied.back().revision = update.revision;
+            }
+        }
+    }
+    return applied;
+}
+
 view_change fleet_view::apply(const fleet_update& update, core::time_point now)
 {
     view_change result;
@@ -196,23 +218,7 @@
     }
     // The state is complete up to m_position: an older change is a duplicate, or was replaced since.
     const bool is_newer_whole = update.whole && position >= m_position;
-    std::vector<fleet_change> applied;
-    for (const auto& change : update.changes) {
-        const bool is_route_set = std::holds_alternative<route_set>(change.value);
-        if (!is_newer_whole && !is_route_set && change.revision <= m_position.revision) {
-            continue;
-        }
-        const auto effect = apply_change(change, now, result.is_new_era);
-        result.hosts += effect.hosts;
-        result.routes = result.routes || effect.routes;
-        if (result.is_new_era && effect.changes_view()) {
-            // Subscribers get the difference between the eras at once.
-            applied.push_back(as_applied(change, now));
-            if (update.whole) {
-                applied.back().revision = update.revision;
-            }
-        }
-    }
+    const auto applied = apply_changes(update, is_newer_whole, now, result);
     std::vector<fleet_change> removals;
     if (is_newer_whole) {
         for (auto& id : hosts_not_named(update)) {
@@ -227,6 +233,7 @@
         // The log starts after the first update.
         m_log_start = update.revision;
     } else {
+        // Subscribers get the difference between the eras at once.
         append_to_log(result.is_new_era ? applied : update.changes, update.revision, version_before, routes_before);
         std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
     }
