--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -4,7 +4,6 @@
 #include "daisydoor/runtime/detail/socket_address.hpp"
 
 #include <ctime>
-#include <nlohmann/json.hpp>
 
 namespace daisydoor::runtime::detail
 {
@@ -465,61 +464,4 @@
     return path_not_found();
 }
 
-std::string relay_task::metrics_text()
-{
-    collect_metrics message;
-    message.samples = {
-        {"packets_received", "", static_cast<double>(m_packets.counters().received)},
-        {"packets_malformed", "", static_cast<double>(m_packets.counters().malformed)},
-        {"packets_sent", "", static_cast<double>(m_packets.counters().sent)},
-        {"packets_send_failed", "", static_cast<double>(m_packets.counters().send_failed)},
-        {"messages_malformed", "", static_cast<double>(m_malformed_messages)},
-        {"resets", "", static_cast<double>(m_resets)},
-        {"updates_ignored", "", static_cast<double>(m_older_updates)},
-        {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
-        {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
-        {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
-        {"route_version", "", static_cast<double>(static_cast<std::uint64_t>(m_view.version())), false}};
-    for (std::size_t i = 0; i < m_decisions.size(); ++i) {
-        message.samples.push_back(
-            {"decisions", std::string(relay::decision_names.at(i)), static_cast<double>(m_decisions.at(i))});
-    }
-    m_metrics.update(message);
-    collect_metrics platform;
-    if (const auto found = m_kernel.find_optional_handler<collect_metrics>(task_names::platform)) {
-        found.call(platform);
-        m_metrics.update(platform);
-    }
-    return m_metrics.text();
-}
-
-std::string relay_task::dump() const
-{
-    nlohmann::json result;
-    result["name"] = m_settings.name;
-    result["role"] = relay_role_names.at(static_cast<std::size_t>(m_settings.role));
-    result["version"] = static_cast<std::uint64_t>(m_view.version());
-    result["era"] = static_cast<std::uint64_t>(m_view.era());
-    result["revision"] = static_cast<std::uint64_t>(m_view.revision());
-    result["flows"] = m_entry ? m_entry->flow_count() : m_agent->flow_count();
-    for (const auto& [id, entry] : m_view.hosts()) {
-        result["hosts"].push_back({{"id", id},
-                                   {"service", entry.value.service},
-                                   {"zone", entry.value.availability_zone},
-                                   {"address", to_string(entry.value.address)},
-                                   {"slots", entry.value.slots},
-                                   {"state", relay::host_state_names.at(static_cast<std::size_t>(entry.value.state))},
-                                   {"lapsing", entry.grace_ends_at.has_value()},
-                                   {"disputed", entry.disputed_until.has_value()}});
-    }
-    if (m_agent) {
-        const auto load = m_agent->load();
-        result["load"] = {{"in_flight", load.in_flight},
-                          {"open_flows", load.open_flows},
-                          {"slots", load.slots},
-                          {"accepts", load.accepts}};
-    }
-    return result.dump(2) + '\n';
-}
-
 } // namespace daisydoor::runtime::detail
