--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -115,7 +115,8 @@
         m_regained_at = m_regained_at ? std::max(*m_regained_at, at) : at;
     }
 
-    /// @brief Removes hosts whose grace period is over.
+    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago. Complexity:
+    /// linear in both.
     /// @return the number of hosts removed
     std::size_t expire(core::time_point now);
 
--- a/src/relay/fleet_view_hosts.cpp
+++ b/src/relay/fleet_view_hosts.cpp
@@ -1,6 +1,7 @@
 #include "daisydoor/relay/fleet_view.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <tuple>
 #include <unordered_set>
@@ -108,16 +109,16 @@
 
 void fleet_view::forget_host(std::map<std::string, known_host>::iterator it, core::time_point now)
 {
-    for (auto removed = m_removed_hosts.begin(); removed != m_removed_hosts.end();) {
-        const bool is_over = now - removed->second.removed_at > removed_host_retention;
-        removed = is_over ? m_removed_hosts.erase(removed) : std::next(removed);
-    }
     m_removed_hosts.insert_or_assign(it->first, removed_host{it->second.value, now});
     m_hosts.erase(it);
 }
 
 std::size_t fleet_view::expire(core::time_point now)
 {
+    for (auto it = m_removed_hosts.begin(); it != m_removed_hosts.end();) {
+        const bool is_over = now - it->second.removed_at > removed_host_retention;
+        it = is_over ? m_removed_hosts.erase(it) : std::next(it);
+    }
     std::size_t result = 0;
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
         const auto entry = it++;
