review: case 4, a request runs at another service at a reused address

Cause: an opening packet is taken for a copy if any record of its four numbers stands, and goes to the agent's own host without a check of the route. Callers get answers of a service to which no configuration sends their requests. The stand-in host now returns RST packets of flows that it does not hold, as PROTOCOL.md says of any packet; before that, this case broke without the outage too, which the stand-in had caused.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -299,8 +299,6 @@
             self.reply(key, SYN | ACK, flow["own"], flow["next"])
             return
         if flow is None or (not flow["open"] and p.flags & ACK and p.ack != flow["sent"] and not p.flags & RST):
-            if p.flags & RST:
-                return
             return self.bounce(p)
         flow["last"] = now
         if p.flags & RST:
