--- a/review/1/case.py
+++ b/review/1/case.py
@@ -75,12 +75,19 @@
     await asyncio.sleep(CONTACT_S)
     reads = {it.name: await world.metric(it, "daisydoor_platform_reads_total") for it in world.processes}
 
+    # A release of one host: the new one starts first, the old one drains.
+    await asyncio.sleep(drain_at - 2.0 - time.monotonic())
+    new = world.add_host("posts", "zone-a")
+    await new.start()
+    new.agent.start(False)
+    await asyncio.sleep(1.0)
+    new.register()
     await asyncio.sleep(drain_at - time.monotonic())
     leaving = hosts[0]
     leaving.state = "draining"
     acknowledged_at = leaving.register()
     await asyncio.sleep(end - time.monotonic())
-    for it in world.processes:
+    for it in [p for p in world.processes if p.name in reads]:
         after = await world.metric(it, "daisydoor_platform_reads_total")
         world.record(f"{it.name} has made {after - reads[it.name]:.0f} calls to the store since 4 s after its return")
     await asyncio.gather(*tasks)
