Show a process that has stopped reading the platform

The readers had stopped calling the platform, and neither their log nor their metrics told so: the last event was 1201, `platform is unreachable`, and platform_reads stood still, which it also does in a process that need not read.

Three causes would look the same: the call in flight never ends, no call is in flight and the reader waits for one, or the pause before the next call is too long. Event 1206 is logged when a process that should read has ended no call for 6 s (longest call, longest pause and 1 s), with what distinguishes them. Metrics: platform_call_expected, platform_calls_in_flight, platform_read_mode, the time since a call ended and since the platform answered, platform_read_stalls. view_age_ms, which docs/OPERATIONS.md names, did not exist in the relay.

--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -26,6 +26,10 @@
 constexpr core::milliseconds max_start_pause{300};
 /// Maximum retry pause of processes that only check; there are many of them.
 constexpr core::milliseconds max_check_pause{3200};
+/// A process that should read has stopped if no call has ended for this long: the longest call and the longest pause,
+/// with a margin for a busy processor.
+constexpr core::milliseconds read_stall_limit =
+    watch_wait + answer_timeout + max_check_pause + core::milliseconds(1000);
 
 /// @brief How a process reads the platform.
 enum class read_mode : std::uint8_t
@@ -119,6 +123,8 @@
     /// @brief When next() may return a call; only meaningful if none is in flight.
     [[nodiscard]] core::time_point due_at() const noexcept { return m_due_at; }
     [[nodiscard]] bool is_unreachable() const noexcept { return m_unreachable; }
+    /// @brief Whether a call has started whose end was not reported.
+    [[nodiscard]] bool is_in_flight() const noexcept { return m_in_flight; }
     /// @brief Highest era that is known.
     [[nodiscard]] store_era era() const noexcept { return m_position.era; }
 
--- a/include/daisydoor/runtime/detail/store_task.hpp
+++ b/include/daisydoor/runtime/detail/store_task.hpp
@@ -32,6 +32,8 @@
     std::uint64_t rejected_values = 0;
     /// Returns of the platform from an older copy.
     std::uint64_t restores = 0;
+    /// Times at which the process had stopped reading although it should read.
+    std::uint64_t stalls = 0;
 };
 
 /// @brief Client of the users' platform store in a relaying process: makes the calls that relay::store_reader requests.
@@ -53,6 +55,9 @@
     /// again.
     void on_pause();
 
+    /// @brief Logs and counts a process that should read and has stopped.
+    void detect_stall(core::time_point now);
+
   private:
     void start_next_request();
     void call(const relay::store_request& request);
@@ -68,6 +73,10 @@
     /// Exchange of the call in flight; 0 if there is none.
     std::uint64_t m_exchange = 0;
     core::time_point m_call_started_at;
+    /// When the last call ended, or when the process began to read.
+    core::time_point m_last_progress_at;
+    std::optional<core::time_point> m_last_answer_at;
+    bool m_is_stalled = false;
     bool m_is_long_poll = false;
     /// Revision of the watch in flight.
     relay::revision m_watched_after{};
--- a/include/daisydoor/runtime/events.hpp
+++ b/include/daisydoor/runtime/events.hpp
@@ -55,6 +55,7 @@
     older_update_ignored,
     platform_history_lost,
     platform_restored,
+    platform_read_stalled,
 };
 
 struct log_event_info
@@ -66,7 +67,7 @@
 };
 
 /// @brief Table of all log events; docs/events.md lists the same numbers, severities and texts.
-constexpr std::array<log_event_info, 36> log_events{{
+constexpr std::array<log_event_info, 37> log_events{{
     {1001, severity::info, "process started"},
     {1002, severity::info, "process stopped"},
     {1003, severity::info, "drain started"},
@@ -103,6 +104,7 @@
     {1109, severity::warning, "older update of the fleet view ignored"},
     {1204, severity::info, "platform no longer has the history of a watch"},
     {1205, severity::warning, "platform was restored from an older copy"},
+    {1206, severity::error, "platform is not read any more"},
 }};
 
 constexpr const log_event_info& info_of(log_event value) { return log_events.at(static_cast<std::size_t>(value)); }
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -20,6 +20,7 @@
         {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
+        {"view_age_ms", "", static_cast<double>(m_sync.age(core::clock::now()).count()), false},
         {"route_version", "", static_cast<double>(static_cast<std::uint64_t>(m_view.version())), false}};
     for (std::size_t i = 0; i < m_decisions.size(); ++i) {
         message.samples.push_back(
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -332,6 +332,7 @@
     }
     m_sync.on_tick(now, m_actions);
     choose_read_mode(now);
+    m_store.detect_stall(now);
     if (m_entry) {
         m_entry->on_tick(now, m_actions);
     } else {
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -30,6 +30,16 @@
     return std::to_string(static_cast<std::uint64_t>(value));
 }
 
+std::int64_t milliseconds_of(core::duration value)
+{
+    return std::chrono::duration_cast<core::milliseconds>(value).count();
+}
+
+std::string mode_name(relay::read_mode mode)
+{
+    return std::string(relay::read_mode_names.at(static_cast<std::size_t>(mode)));
+}
+
 std::string call_name(relay::store_call call)
 {
     return std::string(relay::store_call_names.at(static_cast<std::size_t>(call)));
@@ -62,6 +72,7 @@
 void store_task::start()
 {
     m_role = m_kernel.find_handler<platform_update>(task_names::role);
+    m_last_progress_at = core::clock::now();
     start_next_request();
 }
 
@@ -79,7 +90,8 @@
 void store_task::on_pause()
 {
     cancel_call();
-    m_reader.on_pause(core::clock::now());
+    m_last_progress_at = core::clock::now();
+    m_reader.on_pause(m_last_progress_at);
     start_next_request();
 }
 
@@ -97,12 +109,31 @@
         return;
     }
     write_log(log_event::platform_reading,
-              "mode=" + std::string(relay::read_mode_names.at(static_cast<std::size_t>(mode))) +
-                  " era=" + number_of(known.era) + " revision=" + number_of(known.revision));
-    m_reader.set_mode(mode, known, core::clock::now());
+              "mode=" + mode_name(mode) + " era=" + number_of(known.era) + " revision=" + number_of(known.revision));
+    const auto now = core::clock::now();
+    if (m_reader.mode() == relay::read_mode::off) {
+        m_last_progress_at = now;
+    }
+    m_reader.set_mode(mode, known, now);
     start_next_request();
 }
 
+void store_task::detect_stall(core::time_point now)
+{
+    const auto idle = now - m_last_progress_at;
+    const bool is_stalled = m_reader.mode() != relay::read_mode::off && idle > relay::read_stall_limit;
+    if (is_stalled && !m_is_stalled) {
+        ++m_counters.stalls;
+        write_log(log_event::platform_read_stalled,
+                  "mode=" + mode_name(m_reader.mode()) + " idle_ms=" + std::to_string(milliseconds_of(idle)) +
+                      " call_expected=" + (m_reader.is_in_flight() ? "1" : "0") +
+                      " calls_in_flight=" + std::to_string(m_client.in_flight()) +
+                      " due_in_ms=" + std::to_string(milliseconds_of(m_reader.due_at() - now)) +
+                      " reachable=" + (m_reader.is_unreachable() ? "0" : "1"));
+    }
+    m_is_stalled = is_stalled;
+}
+
 void store_task::start_next_request()
 {
     const auto now = core::clock::now();
@@ -133,6 +164,7 @@
 {
     m_exchange = 0;
     const auto now = core::clock::now();
+    m_last_progress_at = now;
     auto result = relay::store_result::failed;
     auto failure = describe(response);
     platform::store_page page;
@@ -153,6 +185,9 @@
             failure = e.what();
         }
     }
+    if (result != relay::store_result::failed) {
+        m_last_answer_at = now;
+    }
     page.update.era = platform::decode_era(response.version);
     for (const auto& reason : page.update.rejected) {
         ++m_counters.rejected_values;
@@ -186,12 +221,27 @@
 
 void store_task::collect(collect_metrics& message) const
 {
-    message.samples = {{"platform_reads", "", static_cast<double>(m_counters.calls)},
-                       {"platform_outages", "", static_cast<double>(m_counters.outages)},
-                       {"platform_values_rejected", "", static_cast<double>(m_counters.rejected_values)},
-                       {"platform_restores", "", static_cast<double>(m_counters.restores)},
-                       {"platform_era", "", static_cast<double>(static_cast<std::uint64_t>(m_reader.era())), false},
-                       {"platform_reachable", "", m_reader.is_unreachable() ? 0.0 : 1.0, false}};
+    const auto now = core::clock::now();
+    message.samples = {
+        {"platform_reads", "", static_cast<double>(m_counters.calls)},
+        {"platform_outages", "", static_cast<double>(m_counters.outages)},
+        {"platform_values_rejected", "", static_cast<double>(m_counters.rejected_values)},
+        {"platform_restores", "", static_cast<double>(m_counters.restores)},
+        {"platform_era", "", static_cast<double>(static_cast<std::uint64_t>(m_reader.era())), false},
+        {"platform_reachable", "", m_reader.is_unreachable() ? 0.0 : 1.0, false},
+        {"platform_read_stalls", "", static_cast<double>(m_counters.stalls)},
+        {"platform_calls_in_flight", "", static_cast<double>(m_client.in_flight()), false},
+        {"platform_call_expected", "", m_reader.is_in_flight() ? 1.0 : 0.0, false},
+        {"platform_progress_age_ms", "", static_cast<double>(milliseconds_of(now - m_last_progress_at)), false}};
+    if (m_last_answer_at) {
+        message.samples.push_back(
+            {"platform_answer_age_ms", "", static_cast<double>(milliseconds_of(now - *m_last_answer_at)), false});
+    }
+    for (std::size_t i = 0; i < relay::read_mode_names.size(); ++i) {
+        const bool is_current = static_cast<std::size_t>(m_reader.mode()) == i;
+        message.samples.push_back(
+            {"platform_read_mode", std::string(relay::read_mode_names.at(i)), is_current ? 1.0 : 0.0, false});
+    }
 }
 
 } // namespace daisydoor::runtime::detail
