Let only the reader record whether a call to the platform is in flight

Cause: two objects recorded whether a call is in flight, store_task (m_exchange) and store_reader (m_in_flight). store_task::check_now() cancelled a long poll, whose end is then never reported, and the reader cleared its record only if the platform was reachable. The first call after a failure is a long poll too, so a check that came during it left a reader that waits for ever for a call that is gone. Flows that an agent gave up, and questions of other processes, ask for such checks. All readers of a fleet hang together, since they see the same outage, and then confirm each other's old view.

A restart or a pause of the process ended the state, because both cleared the record.

The reader alone now decides: check_now() and on_pause() say whether the call in flight is given up, clear the record in the same step, and the task aborts the exchange only then. The task keeps the exchange's id for the cancellation and nothing that tells whether there is one. A check during the retry after a failure gives it up for a short call, so that the return of the platform is seen at once.

--- a/include/daisydoor/relay/store_reader.hpp
+++ b/include/daisydoor/relay/store_reader.hpp
@@ -113,17 +113,21 @@
 
     [[nodiscard]] read_mode mode() const noexcept { return m_mode; }
 
-    /// @brief Makes the next watch return at once. The caller cancels a watch in flight.
-    void check_now(core::time_point now) noexcept;
+    /// @brief Asks for changes without a wait: gives up a watch in flight that waits for one, and makes the next watch
+    /// return at once. Has no effect while a call is in flight that returns at once.
+    /// @return whether the call in flight was given up; the caller then aborts it and does not report its end
+    [[nodiscard]] bool check_now(core::time_point now) noexcept;
 
-    /// @brief Handles a pause of the process, after which a pending answer may never arrive. The caller cancels the
-    /// call in flight.
-    void on_pause(core::time_point now) noexcept;
+    /// @brief Handles a pause of the process, after which a pending answer may never arrive: gives up the call in
+    /// flight.
+    /// @return as for check_now()
+    [[nodiscard]] bool on_pause(core::time_point now) noexcept;
 
     /// @brief When next() may return a call; only meaningful if none is in flight.
     [[nodiscard]] core::time_point due_at() const noexcept { return m_due_at; }
     [[nodiscard]] bool is_unreachable() const noexcept { return m_unreachable; }
-    /// @brief Whether a call has started whose end was not reported.
+    /// @brief Whether a call is in flight: it has started, its end was not reported, and it was not given up. The only
+    /// record of this; the caller keeps none of its own.
     [[nodiscard]] bool is_in_flight() const noexcept { return m_in_flight; }
     /// @brief Highest era that is known.
     [[nodiscard]] store_era era() const noexcept { return m_position.era; }
@@ -142,6 +146,8 @@
     /// Position from which the next watch continues.
     store_position m_position;
     bool m_in_flight = false;
+    /// The call in flight waits for a change.
+    bool m_is_waiting = false;
     bool m_check_once = false;
     bool m_unreachable = false;
     core::milliseconds m_pause = retry_pause;
--- a/include/daisydoor/runtime/detail/store_task.hpp
+++ b/include/daisydoor/runtime/detail/store_task.hpp
@@ -61,7 +61,6 @@
   private:
     void start_next_request();
     void call(const relay::store_request& request);
-    void cancel_call();
     void on_http_result(relay::store_call call, const http_result& response);
     void on_progress(relay::store_call call, relay::store_progress progress, const std::string& failure);
     void collect(collect_metrics& message) const;
@@ -70,14 +69,13 @@
     http_client m_client;
     relay::store_reader m_reader;
     io_event m_timer;
-    /// Exchange of the call in flight; 0 if there is none.
+    /// Exchange of the latest call, for its cancellation. Only the reader knows whether it is in flight.
     std::uint64_t m_exchange = 0;
     core::time_point m_call_started_at;
     /// When the last call ended, or when the process began to read.
     core::time_point m_last_progress_at;
     std::optional<core::time_point> m_last_answer_at;
     bool m_is_stalled = false;
-    bool m_is_long_poll = false;
     /// Revision of the watch in flight.
     relay::revision m_watched_after{};
     store_counters m_counters;
--- a/src/relay/store_reader.cpp
+++ b/src/relay/store_reader.cpp
@@ -26,6 +26,7 @@
     m_in_flight = true;
     const bool waits = m_mode == read_mode::watch && !m_check_once;
     const auto wait = m_next != store_call::watch ? core::milliseconds(0) : waits ? watch_wait : check_wait;
+    m_is_waiting = m_next == store_call::watch && waits;
     m_check_once = m_check_once && m_next != store_call::watch;
     return store_request{m_next, m_after, m_position.revision, wait, wait + answer_timeout};
 }
@@ -130,21 +131,24 @@
     m_pause = std::min(m_pause * 2, limit);
 }
 
-void store_reader::check_now(core::time_point now) noexcept
+bool store_reader::check_now(core::time_point now) noexcept
 {
+    if (m_in_flight && !m_is_waiting) {
+        return false;
+    }
     m_check_once = true;
     if (m_next == store_call::watch && !m_unreachable) {
-        m_in_flight = false;
         m_due_at = now;
     }
+    return std::exchange(m_in_flight, false);
 }
 
-void store_reader::on_pause(core::time_point now) noexcept
+bool store_reader::on_pause(core::time_point now) noexcept
 {
-    m_in_flight = false;
     m_due_at = now;
     m_pause = retry_pause;
     m_after.clear();
+    return std::exchange(m_in_flight, false);
 }
 
 } // namespace daisydoor::relay
--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -78,29 +78,19 @@
 
 void store_task::check_now()
 {
-    if (m_exchange != 0 && !m_is_long_poll) {
-        // A call that the platform answers immediately is in flight; the next one starts when it has finished.
-        return;
+    if (m_reader.check_now(core::clock::now())) {
+        m_client.cancel(m_exchange);
     }
-    cancel_call();
-    m_reader.check_now(core::clock::now());
     start_next_request();
 }
 
 void store_task::on_pause()
 {
-    cancel_call();
     m_last_progress_at = core::clock::now();
-    m_reader.on_pause(m_last_progress_at);
-    start_next_request();
-}
-
-void store_task::cancel_call()
-{
-    if (m_exchange != 0) {
+    if (m_reader.on_pause(m_last_progress_at)) {
         m_client.cancel(m_exchange);
-        m_exchange = 0;
     }
+    start_next_request();
 }
 
 void store_task::set_mode(relay::read_mode mode, relay::store_position known)
@@ -139,7 +129,7 @@
     const auto now = core::clock::now();
     if (const auto request = m_reader.next(now)) {
         call(*request);
-    } else if (m_exchange == 0 && m_reader.mode() != relay::read_mode::off) {
+    } else if (!m_reader.is_in_flight() && m_reader.mode() != relay::read_mode::off) {
         const auto wait = std::chrono::duration_cast<core::milliseconds>(m_reader.due_at() - now);
         m_timer.add(std::max(wait, core::milliseconds(0)) + core::milliseconds(1));
     }
@@ -149,7 +139,6 @@
 {
     ++m_counters.calls;
     m_call_started_at = core::clock::now();
-    m_is_long_poll = request.wait > relay::check_wait;
     http_request exchange;
     exchange.path = path_of(request);
     exchange.timeout = request.timeout;
@@ -162,7 +151,6 @@
 
 void store_task::on_http_result(relay::store_call call, const http_result& response)
 {
-    m_exchange = 0;
     const auto now = core::clock::now();
     m_last_progress_at = now;
     auto result = relay::store_result::failed;
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <random>
 
 namespace daisydoor::relay
 {
@@ -370,9 +372,86 @@
     read_all();
     ASSERT_TRUE(m_reader.next(m_now));
     EXPECT_FALSE(m_reader.next(m_now));
-    m_reader.on_pause(m_now);
+    EXPECT_TRUE(m_reader.on_pause(m_now)) << "the caller aborts the call in flight";
     EXPECT_EQ(m_reader.next(m_now)->call, store_call::watch);
 }
 
+// Guards against a reader that waits for a retry of a failed call which a check has cancelled.
+TEST_F(store_reader_test, check_gives_up_retry_after_failure)
+{
+    read_all();
+    fail();
+    advance(retry_pause);
+    EXPECT_EQ(m_reader.next(m_now)->wait, watch_wait);
+    EXPECT_TRUE(m_reader.check_now(m_now)) << "the caller aborts the retry";
+    const auto request = m_reader.next(m_now);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->wait, check_wait);
+}
+
+// Guards against a check that gives up the call that answers it.
+TEST_F(store_reader_test, check_keeps_call_that_returns_at_once)
+{
+    EXPECT_EQ(m_reader.next(m_now)->call, store_call::read_all);
+    EXPECT_FALSE(m_reader.check_now(m_now));
+    EXPECT_TRUE(m_reader.is_in_flight());
+    m_reader.on_result(store_result::answered, {}, false, "", m_now);
+    advance(watch_pause);
+    EXPECT_FALSE(m_reader.check_now(m_now)) << "no call is in flight";
+    EXPECT_EQ(m_reader.next(m_now)->wait, check_wait);
+    EXPECT_FALSE(m_reader.check_now(m_now));
+    EXPECT_TRUE(m_reader.is_in_flight());
+}
+
+// Guards against any order of events after which a process that should read has neither a call in flight nor one that
+// is due within the longest pause.
+TEST_F(store_reader_test, random_events_leave_call_in_flight_or_due)
+{
+    constexpr int seeds = 500;
+    constexpr int events = 200;
+    for (int seed = 0; seed < seeds; ++seed) {
+        std::mt19937 random(static_cast<unsigned>(seed));
+        const auto pick = [&random](int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); };
+        store_reader reader;
+        /// The call that the caller has in flight.
+        std::optional<store_request> call;
+        std::uint64_t position = 10;
+        for (int i = 0; i < events; ++i) {
+            advance(core::milliseconds(pick(300)));
+            bool gives_up = false;
+            switch (pick(6)) {
+            case 0:
+                gives_up = reader.check_now(m_now);
+                break;
+            case 1:
+                gives_up = reader.on_pause(m_now);
+                break;
+            case 2:
+                reader.set_mode(static_cast<read_mode>(pick(3)), {store_era{}, revision{position}}, m_now);
+                break;
+            default:
+                if (call) {
+                    fleet_update update;
+                    update.revision = revision{position += static_cast<std::uint64_t>(pick(2))};
+                    update.era = store_era{static_cast<std::uint64_t>(1 + i * pick(2) / 100)};
+                    call.reset();
+                    reader.on_result(static_cast<store_result>(pick(3)), update, pick(3) == 0, "servers/x", m_now);
+                }
+            }
+            EXPECT_TRUE(!gives_up || call) << "gives up a call that is not in flight";
+            if (gives_up) {
+                call.reset();
+            }
+            if (const auto next = reader.next(m_now)) {
+                ASSERT_FALSE(call) << "seed " << seed << ": two calls in flight after event " << i;
+                call = next;
+            }
+            ASSERT_EQ(reader.is_in_flight(), call.has_value()) << "seed " << seed << ", event " << i;
+            ASSERT_TRUE(call || reader.mode() == read_mode::off || reader.due_at() <= m_now + max_check_pause)
+                << "seed " << seed << ": nothing is due after event " << i;
+        }
+    }
+}
+
 } // namespace
 } // namespace daisydoor::relay
