Report the end of a call only after its start has returned

Callers: none seen; found by looking for the cause of the hanging readers in other places where an object waits for the end of a call.

Cause: if no connection could be opened (no file descriptor left), http_client called the handler inside start(), before the caller had the id. A caller that records the id afterwards (store_task, target_task) then has one of a call that is over, and its own cancel() came too late to stop the handler. If libevent could not create the connection object, start() threw instead, and the handler was never called. By reading, not by a run: relay_task would then never fetch a view again (view_sync::m_fetching), and target_task never poll the target's health; config_sync would wait until its watch expires after 30 s.

start() now never calls the handler and never throws for a connection: it reports connect_failed from the event loop, unless the exchange is cancelled first. So every exchange ends exactly once, by its handler or by cancel(), after its start.

http_client_test.start_without_descriptors_fails_after_it_returns and cancel_of_failed_start_calls_no_handler failed before: the handler was called inside start(), also for the exchange that was then cancelled.

--- a/include/daisydoor/runtime/detail/http_client.hpp
+++ b/include/daisydoor/runtime/detail/http_client.hpp
@@ -67,10 +67,10 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// @brief Starts an exchange; `done` may be called before this returns if no connection can be opened.
+    /// @brief Starts an exchange. `done` is called exactly once unless the exchange is cancelled, and never before this
+    /// returns; if no connection can be opened, with the outcome `connect_failed`.
     /// @param request its path must satisfy is_valid_path()
     /// @returns id for cancel()
-    /// @throws runtime_error with errc::event_loop_failed if libevent cannot create a connection.
     std::uint64_t start(http_request request, done_handler done);
 
     /// @brief Aborts an exchange by closing its connection; `done` is not called. Has no effect if it has finished.
@@ -82,6 +82,9 @@
   private:
     struct exchange;
 
+    /// @return whether the request was handed to libevent
+    bool begin(exchange& http_exchange);
+    /// @return null if libevent cannot create a connection
     evhttp_connection* acquire_connection(core::milliseconds timeout);
     evhttp_request* make_request(exchange& http_exchange);
     void free_deferred(evhttp_connection* connection);
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -35,6 +35,8 @@
     evhttp_connection* connection = nullptr;
     evbuffer_cb_entry* output_callback = nullptr;
     bool bytes_sent = false;
+    /// start() has not returned yet.
+    bool is_starting = true;
     /// Set by the error callback, which libevent calls before it empties the output buffer: emptying it looks like sent
     /// bytes.
     bool failed = false;
@@ -62,7 +64,9 @@
 http_client::~http_client()
 {
     for (auto& [id, http_exchange] : m_exchanges) {
-        evhttp_connection_free(http_exchange->connection);
+        if (http_exchange->connection != nullptr) {
+            evhttp_connection_free(http_exchange->connection);
+        }
     }
     for (auto* list : {&m_idle, m_connections_to_free.get()}) {
         std::for_each(list->begin(), list->end(), evhttp_connection_free);
@@ -76,7 +80,7 @@
     if (m_idle.empty()) {
         result = evhttp_connection_base_bufferevent_new(m_kernel.base(), nullptr, nullptr, m_ip.c_str(), m_server.port);
         if (result == nullptr) {
-            throw runtime_error(errc::event_loop_failed, "libevent cannot create an HTTP connection");
+            return nullptr;
         }
         evhttp_connection_set_max_body_size(result, max_response_bytes);
         evhttp_connection_set_max_headers_size(result, max_header_bytes);
@@ -140,8 +144,23 @@
     http_exchange.id = id;
     http_exchange.request = std::move(request);
     http_exchange.done = std::move(done);
-    http_exchange.connection = acquire_connection(http_exchange.request.timeout);
     m_exchanges.emplace(id, std::move(owned));
+    if (!begin(http_exchange)) {
+        http_exchange.failed = true;
+        // Callers record the id that this function returns, and the handler would clear it first.
+        http_exchange.timer = io_event(m_kernel.base(), [this, id] { on_timeout(id); });
+        http_exchange.timer.add(core::milliseconds(0));
+    }
+    http_exchange.is_starting = false;
+    return id;
+}
+
+bool http_client::begin(exchange& http_exchange)
+{
+    http_exchange.connection = acquire_connection(http_exchange.request.timeout);
+    if (http_exchange.connection == nullptr) {
+        return false;
+    }
     http_exchange.output_callback = evbuffer_add_cb(
         http_exchange.output(),
         [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
@@ -150,17 +169,13 @@
         },
         &http_exchange);
     if (http_exchange.request.timeout.count() > 0) {
-        http_exchange.timer = io_event(m_kernel.base(), [this, id] { on_timeout(id); });
+        http_exchange.timer = io_event(m_kernel.base(), [this, id = http_exchange.id] { on_timeout(id); });
         http_exchange.timer.add(http_exchange.request.timeout);
     }
-    const auto method = http_exchange.request.method;
-    const std::string path = http_exchange.request.path;
-    if (evhttp_make_request(http_exchange.connection, make_request(http_exchange), method, path.c_str()) != 0) {
-        if (const auto it = m_exchanges.find(id); it != m_exchanges.end()) {
-            finish(*it->second, {http_outcome::connect_failed, 0, {}, {}}, false);
-        }
-    }
-    return id;
+    const auto& request = http_exchange.request;
+    const int result = evhttp_make_request(http_exchange.connection, make_request(http_exchange), request.method,
+                                           request.path.c_str());
+    return result == 0 && !http_exchange.failed;
 }
 
 bool http_client::cancel(std::uint64_t id)
@@ -185,6 +200,10 @@
 
 void http_client::on_done(exchange& http_exchange, evhttp_request* request)
 {
+    if (http_exchange.is_starting) {
+        http_exchange.failed = true;
+        return;
+    }
     if (request == nullptr || http_exchange.failed) {
         finish(http_exchange, {http_exchange.failed ? http_exchange.failure : http_outcome::broken, 0, {}, {}}, false);
         return;
@@ -218,7 +237,7 @@
     }
     if (reusable && m_idle.size() < max_idle_connections) {
         m_idle.push_back(http_exchange.connection);
-    } else {
+    } else if (http_exchange.connection != nullptr) {
         free_deferred(http_exchange.connection);
     }
     auto owned = std::move(it->second);
--- a/tests/unit/unit-runtime-http.cpp
+++ b/tests/unit/unit-runtime-http.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -64,14 +65,37 @@
         }
     }
 
+    /// While one exists, no file descriptor can be opened.
+    class no_descriptors
+    {
+      public:
+        no_descriptors()
+        {
+            getrlimit(RLIMIT_NOFILE, &m_former);
+            const rlimit none{0, m_former.rlim_max};
+            EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+        }
+        ~no_descriptors() { setrlimit(RLIMIT_NOFILE, &m_former); }
+        no_descriptors(const no_descriptors&) = delete;
+        no_descriptors& operator=(const no_descriptors&) = delete;
+
+      private:
+        rlimit m_former{};
+    };
+
+    static http_request request_of(core::milliseconds timeout)
+    {
+        http_request result;
+        result.path = "/x";
+        result.timeout = timeout;
+        return result;
+    }
+
     http_result run(core::milliseconds timeout = core::milliseconds(5000))
     {
         http_result result;
-        http_request request;
-        request.path = "/x";
-        request.timeout = timeout;
         owner.defer([&] {
-            client->start(std::move(request), [&](http_result response) {
+            client->start(request_of(timeout), [&](http_result response) {
                 result = std::move(response);
                 owner.stop(0);
             });
@@ -234,6 +258,43 @@
     EXPECT_EQ(client->in_flight(), 0U);
 }
 
+// Guards against a caller that records the id of an exchange after its handler was called, and then takes the exchange
+// for one in flight.
+TEST_F(http_client_test, start_without_descriptors_fails_after_it_returns)
+{
+    bool has_returned = false;
+    http_result result;
+    {
+        const no_descriptors exhausted;
+        client->start(request_of(core::milliseconds(5000)), [&](const http_result& response) {
+            EXPECT_TRUE(has_returned);
+            result = response;
+            owner.stop(0);
+        });
+    }
+    has_returned = true;
+    EXPECT_EQ(client->in_flight(), 1U);
+    owner.run();
+    EXPECT_EQ(result.outcome, http_outcome::connect_failed);
+    EXPECT_EQ(client->in_flight(), 0U);
+}
+
+// Guards against a handler that is called for an exchange which was cancelled before its failure was reported.
+TEST_F(http_client_test, cancel_of_failed_start_calls_no_handler)
+{
+    std::uint64_t id = 0;
+    {
+        const no_descriptors exhausted;
+        id = client->start(request_of(core::milliseconds(5000)),
+                           [](const http_result&) { ADD_FAILURE() << "handler called after cancel"; });
+    }
+    EXPECT_FALSE(client->cancel(id)) << "no byte was sent";
+    for (int i = 0; i < 3; ++i) {
+        event_base_loop(owner.base(), EVLOOP_NONBLOCK);
+    }
+    EXPECT_EQ(client->in_flight(), 0U);
+}
+
 // Guards against stream chunks that are delivered only when the stream ends, and against a crash when the chunk handler
 // cancels the exchange.
 TEST_F(http_client_test, start_stream_chunks_delivered_immediately)
