Read on after a response that cannot be decoded

Callers: after one odd entry of another writer among those of the hosts, no change of routes or hosts was in force any more, in any process.

Cause: the same as that of the hanging readers after an outage, an object that waits for the end of a call that is over. on_http_result() caught only the errors that the decoder reports itself. Another exception, std::bad_alloc for a value of 1 MiB of nested lists in a process of 64 MB, left it before the reader was told that the call has ended.

Every exception while a response is decoded now makes the call a failed one: event 1201 names it, and the reader tries again after its pause.

store_task_test.response_that_cannot_be_decoded_is_a_failed_call failed before: 1 call expected, 0 in flight, no call after the response was well-formed again.

--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -169,7 +169,9 @@
                 page = platform::decode_page(body);
             }
             result = relay::store_result::answered;
-        } catch (const platform::store_error& e) {
+        } catch (const std::exception& e) {
+            // Also one that the decoder does not report itself: the reader waits for the end of every call.
+            page = {};
             failure = e.what();
         }
     }
--- a/tests/unit/unit-runtime-store.cpp
+++ b/tests/unit/unit-runtime-store.cpp
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -85,6 +88,8 @@
         int fd;
         io_event readable;
         io_event answer;
+        /// Rest of the response.
+        std::string unsent;
     };
 
     void accept_one()
@@ -95,9 +100,12 @@
         it.readable = io_event(m_kernel.base(), fd, EV_READ | EV_PERSIST, [this, &it] { answer(it); });
         it.readable.add();
         it.answer = io_event(m_kernel.base(), [this, &it] {
-            const std::string response =
-                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-            EXPECT_EQ(write(it.fd, response.data(), response.size()), static_cast<ssize_t>(response.size()));
+            const auto n = write(it.fd, it.unsent.data(), it.unsent.size());
+            ASSERT_TRUE(n > 0 || errno == EAGAIN);
+            it.unsent.erase(0, static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+            if (!it.unsent.empty()) {
+                it.answer.add(core::milliseconds(1));
+            }
         });
     }
 
@@ -112,6 +120,7 @@
         const std::string request(buf.data(), static_cast<std::size_t>(n));
         m_calls.push_back(request.substr(0, request.find('\r')));
         if (up) {
+            to.unsent = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             to.answer.add(answer_delay);
         }
     }
@@ -154,5 +163,28 @@
     EXPECT_EQ(metric("platform_outages"), 0);
 }
 
+// Guards against a reader that waits for ever for the end of a call because decoding its response threw an exception:
+// here a value that takes more memory than a node has.
+TEST_F(store_task_test, response_that_cannot_be_decoded_is_a_failed_call)
+{
+    constexpr rlim_t node_bytes = 64 * 1024 * 1024;
+    constexpr std::size_t encoded_bytes = 1'398'104;
+    const std::string usable = body;
+    body = R"({"items":[{"Key":"op/config","Revision":3,"Value":")";
+    while (body.size() < encoded_bytes) {
+        body += "W1tb"; // "[[[" in base64
+    }
+    body += R"("}],"HasMore":false,"StoreRevision":20})";
+    rlimit former{};
+    getrlimit(RLIMIT_DATA, &former);
+    const rlimit of_node{node_bytes, former.rlim_max};
+    setrlimit(RLIMIT_DATA, &of_node);
+    EXPECT_TRUE(run_until([this] { return metric("platform_outages") == 1; }));
+    setrlimit(RLIMIT_DATA, &former);
+    EXPECT_EQ(metric("platform_call_expected"), metric("platform_calls_in_flight"));
+    body = usable;
+    EXPECT_TRUE(run_until([this] { return updates() >= 1; })) << "the process has stopped reading";
+}
+
 } // namespace
 } // namespace daisydoor::runtime::detail
