--- a/tests/process/unit-process-relay.cpp
+++ b/tests/process/unit-process-relay.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <regex>
 #include <sstream>
+#include <sys/resource.h>
 
 namespace daisydoor::process_test
 {
@@ -165,6 +166,28 @@
     finish();
 }
 
+// Guards against processes that end, or stop following the list of hosts, because one odd entry among them takes more
+// memory to decode than a node has.
+TEST_F(relay_process_test, deeply_nested_entry_stops_no_process)
+{
+    constexpr rlim_t node_bytes = 64 * 1024 * 1024;
+    constexpr std::size_t max_value_bytes = 1'048'576;
+    rlimit former{};
+    getrlimit(RLIMIT_DATA, &former);
+    const rlimit of_node{node_bytes, former.rlim_max};
+    setrlimit(RLIMIT_DATA, &of_node);
+    start();
+    setrlimit(RLIMIT_DATA, &former);
+    m_world->write_odd_entry(std::string(max_value_bytes, '['));
+    m_world->run(core::milliseconds(1000));
+    m_world->publish(false);
+    m_world->run(core::milliseconds(3000));
+    for (const char* name : {"entry-10", "entry-11", "entry-12", "agent-50", "agent-51", "agent-52", "agent-53"}) {
+        EXPECT_NE(log_of(name).find("version=6 routes=1"), std::string::npos) << name;
+    }
+    finish();
+}
+
 // Guards against new flows at a draining host.
 TEST_F(relay_process_test, draining_host_gets_no_new_flows)
 {
--- a/tests/standins/relay/world.hpp
+++ b/tests/standins/relay/world.hpp
@@ -61,6 +61,8 @@
     void drain_host(int index);
     /// @brief Publishes a new version; `with_second_route` adds or drops the route that no client uses.
     void publish(bool with_second_route);
+    /// @brief Writes an entry of another writer among those of the hosts.
+    void write_odd_entry(const std::string& value) { m_store->put("servers/odd", value); }
 
     /// @brief Ends all faults and checks that requests are answered again.
     void recover();
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -1,8 +1,12 @@
 #include "platform/store.hpp"
 
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
+#include <sys/resource.h>
 
 namespace daisydoor::platform
 {
@@ -135,6 +139,109 @@
     EXPECT_EQ(result.update.changes.size(), damaged) << "each invalid entry with a key removes its host";
 }
 
+/// Entries that another writer left under the key of a host.
+class odd_entry_test : public platform_store_test,
+                       public ::testing::WithParamInterface<std::pair<const char*, std::string>>
+{
+  protected:
+    static std::string repeated(const std::string& part, std::size_t bytes)
+    {
+        std::string result;
+        result.reserve(bytes + part.size());
+        while (result.size() < bytes) {
+            result += part;
+        }
+        return result;
+    }
+
+    /// A valid entry in which a text replaces another one.
+    static std::string host_with(const std::string& former, const std::string& text)
+    {
+        std::string result =
+            R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"ub","Version":"v1",)"
+            R"("Concurrency":5,"State":"ready","ColdRemainingMs":40,"Sequence":4,"born":1700000000000})";
+        return result.replace(result.find(former), former.size(), text);
+    }
+
+    /// Largest value that the store accepts.
+    static constexpr std::size_t value_bytes = 1'048'576;
+    /// Memory of a node at the two-year size (docs/design.md, section 2).
+    static constexpr rlim_t node_bytes = 64 * 1024 * 1024;
+    /// Covers the key and the reason of a rejected entry in the log.
+    static constexpr std::size_t max_log_bytes = 400;
+
+    /// Whether both kinds of response are decoded as if the odd entry were missing.
+    bool is_only_entry_rejected() const
+    {
+        const json items = json::array({item("servers/a", m_host.dump()), item("servers/odd", GetParam().second),
+                                        item("servers/z", m_host.dump())});
+        const auto whole = decode(page(items)).update;
+        const auto text = json{{"events", items}, {"StoreRevision", 530}}.dump();
+        const auto events = decode_events({reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+        const auto is_expected = [](const relay::fleet_update& value) {
+            return value.changes.size() == 3 && std::holds_alternative<relay::host>(value.changes[0].value) &&
+                   std::holds_alternative<relay::host_removed>(value.changes[1].value) &&
+                   std::holds_alternative<relay::host>(value.changes[2].value) && value.rejected.size() == 1 &&
+                   value.rejected[0].size() <= max_log_bytes &&
+                   std::all_of(value.rejected[0].begin(), value.rejected[0].end(),
+                               [](unsigned char c) { return std::isprint(c) != 0; });
+        };
+        return is_expected(whole) && is_expected(events);
+    }
+
+    [[noreturn]] void decode_and_exit() const
+    {
+        const rlimit limit{node_bytes, node_bytes};
+        setrlimit(RLIMIT_DATA, &limit);
+        std::_Exit(is_only_entry_rejected() ? 0 : 1);
+    }
+
+    friend std::vector<std::pair<const char*, std::string>> odd_entries();
+};
+
+std::vector<std::pair<const char*, std::string>> odd_entries()
+{
+    using test = odd_entry_test;
+    constexpr auto size = test::value_bytes;
+    return {
+        {"open_lists", test::repeated("[", size)},
+        {"nested_lists", test::repeated("[", size / 2) + test::repeated("]", size / 2)},
+        {"open_objects", test::repeated(R"({"a":)", size)},
+        {"list_of_lists", "[" + test::repeated("[],", size - 3) + "[]]"},
+        {"list_of_objects", "[" + test::repeated("{},", size - 3) + "{}]"},
+        {"nested_service",
+         test::host_with("\"huvo11a\"", test::repeated("[", size / 4) + test::repeated("]", size / 4))},
+        {"lists_of_host_size", test::repeated("[", 16'000)},
+        {"zone_beyond_datagram", test::host_with("ub", test::repeated("u", 1'100))},
+        {"long_zone", test::host_with("ub", test::repeated("u", size / 2))},
+        {"long_token", "\"" + test::repeated("t", size / 2) + "\n"},
+        {"concurrency_beyond_double", test::host_with("5,", "1e999,")},
+        {"concurrency_of_many_digits", test::host_with("5,", test::repeated("9", size / 2) + ",")},
+        {"concurrency_beyond_64_bits", test::host_with("5,", "18446744073709551616,")},
+        {"concurrency_of_64_bits", test::host_with("5,", "18446744073709551615,")},
+        {"concurrency_negative", test::host_with("5,", "-9223372036854775808,")},
+        {"sequence_beyond_64_bits", test::host_with("4,", "18446744073709551616,")},
+        {"born_beyond_64_bits", test::host_with("1700000000000", "99999999999999999999")},
+        {"cold_beyond_64_bits", test::host_with("40", "18446744073709551615")},
+        {"port_beyond_16_bits", test::host_with("8080", "65536")},
+        {"port_of_many_digits", test::host_with("8080", "99999999999999999999")},
+        {"port_negative", test::host_with("8080", "-1")},
+        {"port_missing", test::host_with(":8080", "")},
+        {"address_of_numbers_too_large", test::host_with("10.128.0.9", "10.128.0.999")},
+        {"line_breaks", "{\"Service\\n\": \n\n\x01"},
+    };
+}
+
+// Guards against a process that ends or stops following the list of hosts because of one odd entry: memory beyond that
+// of a node, an exception, or a log line of the size of the entry.
+TEST_P(odd_entry_test, decode_rejects_only_the_entry_within_memory_of_a_node)
+{
+    EXPECT_EXIT(decode_and_exit(), ::testing::ExitedWithCode(0), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(entries, odd_entry_test, ::testing::ValuesIn(odd_entries()),
+                         [](const auto& value) { return value.param.first; });
+
 // Guards against one invalid route that makes the whole configuration be rejected.
 TEST_F(platform_store_test, decode_page_invalid_route_rejected_others_decoded)
 {
