Name the tests of odd entries after the entry

Cause: GoogleTest lists the parameter of a test with its address and value, and CTest took this text, up to 330 characters that differ in each build, for the name of the test.

--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -139,9 +139,16 @@
     EXPECT_EQ(result.update.changes.size(), damaged) << "each invalid entry with a key removes its host";
 }
 
+struct odd_entry
+{
+    const char* name;
+    std::string value;
+};
+
+void PrintTo(const odd_entry& it, std::ostream* out) { *out << it.name; }
+
 /// Entries that another writer left under the key of a host.
-class odd_entry_test : public platform_store_test,
-                       public ::testing::WithParamInterface<std::pair<const char*, std::string>>
+class odd_entry_test : public platform_store_test, public ::testing::WithParamInterface<odd_entry>
 {
   protected:
     static std::string repeated(const std::string& part, std::size_t bytes)
@@ -173,7 +180,7 @@
     /// Whether both kinds of response are decoded as if the odd entry were missing.
     bool is_only_entry_rejected() const
     {
-        const json items = json::array({item("servers/a", m_host.dump()), item("servers/odd", GetParam().second),
+        const json items = json::array({item("servers/a", m_host.dump()), item("servers/odd", GetParam().value),
                                         item("servers/z", m_host.dump())});
         const auto whole = decode(page(items)).update;
         const auto text = json{{"events", items}, {"StoreRevision", 530}}.dump();
@@ -196,10 +203,10 @@
         std::_Exit(is_only_entry_rejected() ? 0 : 1);
     }
 
-    friend std::vector<std::pair<const char*, std::string>> odd_entries();
+    friend std::vector<odd_entry> odd_entries();
 };
 
-std::vector<std::pair<const char*, std::string>> odd_entries()
+std::vector<odd_entry> odd_entries()
 {
     using test = odd_entry_test;
     constexpr auto size = test::value_bytes;
@@ -240,7 +247,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(entries, odd_entry_test, ::testing::ValuesIn(odd_entries()),
-                         [](const auto& value) { return value.param.first; });
+                         [](const auto& value) { return value.param.name; });
 
 // Guards against one invalid route that makes the whole configuration be rejected.
 TEST_F(platform_store_test, decode_page_invalid_route_rejected_others_decoded)
