Arm the relay's tick again also after an exception

Callers: none seen; found by reading, while looking for timers on which an object waits for ever.

Cause: relay_task and log_task armed their one-shot timers as the last step of the handler. An exception before it, which the event loop only logs, would have ended every later tick: searches, waiting requests, subscriptions and the choice of what to read. No exception in a tick is known or was provoked.

repeated_timer arms the timer whatever its handler does. The interval still counts from the end of the handler, so that the number of ticks is as before. kernel_test.repeated_timer_goes_on_after_exception is new with the class.

--- a/include/daisydoor/runtime/detail/io_event.hpp
+++ b/include/daisydoor/runtime/detail/io_event.hpp
@@ -62,4 +62,31 @@
     std::unique_ptr<event, event_deleter> m_event;
 };
 
+/// @brief Timer that fires again and again, an interval after the end of its handler. A handler that throws does not
+/// stop it.
+class repeated_timer
+{
+  public:
+    /// @throws runtime_error with errc::event_loop_failed if libevent cannot create the event.
+    repeated_timer(event_base* base, core::milliseconds interval, std::function<void()> handler)
+        : m_interval(interval), m_handler(std::move(handler)), m_event(base, [this] { on_event(); })
+    {
+    }
+    repeated_timer(const repeated_timer&) = delete;
+    repeated_timer& operator=(const repeated_timer&) = delete;
+
+    void start() { m_event.add(m_interval); }
+
+  private:
+    void on_event()
+    {
+        run_and_log_exceptions(m_handler);
+        m_event.add(m_interval);
+    }
+
+    core::milliseconds m_interval;
+    std::function<void()> m_handler;
+    io_event m_event;
+};
+
 } // namespace daisydoor::runtime::detail
--- a/include/daisydoor/runtime/detail/log_output.hpp
+++ b/include/daisydoor/runtime/detail/log_output.hpp
@@ -53,12 +53,12 @@
   public:
     explicit log_task(kernel& owner);
 
-    void start() override { m_timer.add(log_flush_interval); }
+    void start() override { m_timer.start(); }
     [[nodiscard]] const log_output& output() const noexcept { return m_output; }
 
   private:
     log_output m_output;
-    io_event m_timer;
+    repeated_timer m_timer;
 };
 
 /// @brief Suppresses events below a severity, in the whole process.
--- a/include/daisydoor/runtime/detail/relay_task.hpp
+++ b/include/daisydoor/runtime/detail/relay_task.hpp
@@ -77,7 +77,7 @@
     packet_socket m_messages;
     /// Packets from and to the host; only set for an agent.
     std::unique_ptr<packet_socket> m_host_packets;
-    io_event m_tick;
+    repeated_timer m_tick;
     http_server m_admin;
     relay::actions m_actions;
     std::array<std::uint64_t, relay::decision_names.size()> m_decisions{};
--- a/src/runtime/log_output.cpp
+++ b/src/runtime/log_output.cpp
@@ -71,10 +71,7 @@
 }
 
 log_task::log_task(kernel& owner)
-    : m_output(STDOUT_FILENO), m_timer(owner.base(), [this] {
-          m_output.flush();
-          m_timer.add(log_flush_interval);
-      })
+    : m_output(STDOUT_FILENO), m_timer(owner.base(), log_flush_interval, [this] { m_output.flush(); })
 {
     // This sink is the only destination: no log files, because daisydoor must not use the disk (requirement R12), and
     // nothing on standard error.
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -97,7 +97,7 @@
       m_messages(
           owner.base(), with_port(process_settings.packets, process_settings.peer_port),
           [this](wire::bytes_view bytes, relay::ipv4 from) { on_message(bytes, from); }, [this] { flush(); }),
-      m_tick(owner.base(), [this] { on_tick(); }),
+      m_tick(owner.base(), tick_interval, [this] { on_tick(); }),
       m_admin(owner, process_settings.admin,
               [this](const std::string& path, const auto&) { return handle_request(path); }),
       m_started_at(core::clock::now()), m_last_tick(m_started_at), m_suspended(suspended_time()),
@@ -125,7 +125,7 @@
     if (m_host_packets) {
         m_host_packets->start();
     }
-    m_tick.add(tick_interval);
+    m_tick.start();
 }
 
 void relay_task::on_client_packet(wire::bytes_view bytes, relay::ipv4 from)
@@ -348,7 +348,6 @@
             m_kernel.stop(0);
         }
     }
-    m_tick.add(tick_interval);
 }
 
 void relay_task::start_drain()
--- a/tests/unit/unit-runtime-kernel.cpp
+++ b/tests/unit/unit-runtime-kernel.cpp
@@ -1,3 +1,4 @@
+#include "daisydoor/runtime/detail/io_event.hpp"
 #include "daisydoor/runtime/kernel.hpp"
 
 #include <gtest/gtest.h>
@@ -34,6 +35,23 @@
     return 0;
 }
 
+// Guards against a process that never ticks again because its handler threw an exception before it armed the timer.
+TEST_F(kernel_test, repeated_timer_goes_on_after_exception)
+{
+    detail::repeated_timer timer(owner.base(), core::milliseconds(1), [this] {
+        values.push_back(1);
+        if (values.size() == 3) {
+            owner.stop(0);
+        }
+        throw std::runtime_error("handler failed");
+    });
+    timer.start();
+    const timeval limit{5, 0};
+    event_base_loopexit(owner.base(), &limit);
+    owner.run();
+    EXPECT_EQ(values.size(), 3U);
+}
+
 // Guards against messages that are silently lost because of a wrong task name or message type.
 TEST_F(kernel_test, find_handler_unknown_name_or_type_throws)
 {
