--- a/src/runtime/store_task.cpp
+++ b/src/runtime/store_task.cpp
@@ -170,7 +170,7 @@
             }
             result = relay::store_result::answered;
         } catch (const std::exception& e) {
-            // Also one that the decoder does not report itself: the reader waits for the end of every call.
+            // Whatever was thrown, the call has ended, and the reader waits for its end.
             page = {};
             failure = e.what();
         }
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -259,6 +259,19 @@
     EXPECT_EQ(result.update.rejected.size(), 1U);
 }
 
+// Guards against a log line of the size of a response that is not JSON.
+TEST_F(platform_store_test, decode_page_long_invalid_body_reports_short_reason)
+{
+    constexpr std::size_t max_reason_bytes = 400;
+    const std::string text = "\"" + std::string(100'000, 't') + "\n";
+    try {
+        decode_page({reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+        FAIL() << "a string is not a page";
+    } catch (const store_error& e) {
+        EXPECT_LE(std::string(e.what()).size(), max_reason_bytes);
+    }
+}
+
 // Guards against a host that stays in use after its entry was removed.
 TEST_F(platform_store_test, decode_events_tombstone_removes_host)
 {
