Let the soak and random events look for readers that have stopped

The soak and the process tests of the relay did not notice a process that has stopped reading the platform, as long as others told it the newest routes. Event 1206 in any log is a violation now. store_task_test.random_events_keep_reader_and_client_in_step plays 600 random checks, pauses, changes of mode, silent and broken connections against a real HTTP client, and compares what reader and client say of the call in flight.

--- a/tests/standins/relay/world.cpp
+++ b/tests/standins/relay/world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace daisydoor::standins::relay
@@ -47,6 +48,8 @@
 /// Time after the faults in which most requests must be answered again (RecoveryS).
 constexpr core::milliseconds recovery_limit{12'000};
 constexpr core::milliseconds recovery_check_interval{2000};
+/// Event of a process that should read the platform and has stopped.
+constexpr const char* read_stalled_event = " [1206] ";
 
 } // namespace
 
@@ -221,6 +224,13 @@
     }
 }
 
+bool world::has_logged(const machine& value, const std::string& text) const
+{
+    std::ifstream in(m_options.folder + '/' + value.name + ".log");
+    const std::string log{std::istreambuf_iterator<char>(in), {}};
+    return log.find(text) != std::string::npos;
+}
+
 bool world::start()
 {
     for (auto& it : m_machines) {
@@ -388,6 +398,9 @@
         if (!was_running) {
             m_record.add_violation(it.name + " exited unexpectedly");
         }
+        if (has_logged(it, read_stalled_event)) {
+            m_record.add_violation(it.name + " stopped reading the platform");
+        }
         it.process.kill();
     }
     return m_record.violations;
--- a/tests/standins/relay/world.hpp
+++ b/tests/standins/relay/world.hpp
@@ -100,6 +100,8 @@
     /// @brief Waits until every process has the operator's newest routes; adds a violation for each that has not in
     /// time.
     void await_newest_routes();
+    /// @brief Whether the log of a machine's processes contains a text.
+    [[nodiscard]] bool has_logged(const machine& value, const std::string& text) const;
     [[nodiscard]] bool has_newest_routes(const machine& value) const;
     void add_clients();
     bool is_reset_allowed(const flow_id& id) const;
--- a/tests/unit/unit-runtime-store.cpp
+++ b/tests/unit/unit-runtime-store.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <netinet/in.h>
+#include <random>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -70,6 +71,8 @@
     const std::string& call(std::size_t n) const { return m_calls.at(n); }
 
     bool up = true;
+    /// Closes the connection instead of an answer.
+    bool breaks = false;
     /// Body of the response to every call.
     std::string body = R"({"items":[],"events":[],"HasMore":false,"StoreRevision":20})";
     std::unique_ptr<store_task> store;
@@ -101,7 +104,10 @@
         it.readable.add();
         it.answer = io_event(m_kernel.base(), [this, &it] {
             const auto n = write(it.fd, it.unsent.data(), it.unsent.size());
-            ASSERT_TRUE(n > 0 || errno == EAGAIN);
+            if (n <= 0 && errno != EAGAIN) {
+                // The task has given the call up.
+                return;
+            }
             it.unsent.erase(0, static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
             if (!it.unsent.empty()) {
                 it.answer.add(core::milliseconds(1));
@@ -119,7 +125,10 @@
         }
         const std::string request(buf.data(), static_cast<std::size_t>(n));
         m_calls.push_back(request.substr(0, request.find('\r')));
-        if (up) {
+        if (breaks) {
+            to.readable.remove();
+            shutdown(to.fd, SHUT_RDWR);
+        } else if (up) {
             to.unsent = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             to.answer.add(answer_delay);
         }
@@ -163,6 +172,39 @@
     EXPECT_EQ(metric("platform_outages"), 0);
 }
 
+// Guards against any order of events after which the reader and the HTTP client disagree about the call in flight.
+TEST_F(store_task_test, random_events_keep_reader_and_client_in_step)
+{
+    constexpr int events = 600;
+    std::mt19937 random(1);
+    const auto pick = [&random](int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); };
+    for (int i = 0; i < events; ++i) {
+        switch (pick(5)) {
+        case 0:
+            store->check_now();
+            break;
+        case 1:
+            store->on_pause();
+            break;
+        case 2:
+            store->set_mode(static_cast<relay::read_mode>(pick(3)), {relay::store_era{}, relay::revision{20}});
+            break;
+        case 3:
+            up = pick(2) == 0;
+            break;
+        default:
+            breaks = pick(3) == 0;
+        }
+        run_until([] { return false; }, core::milliseconds(pick(10)));
+        ASSERT_EQ(metric("platform_call_expected"), metric("platform_calls_in_flight")) << "after event " << i;
+    }
+    up = true;
+    breaks = false;
+    store->set_mode(relay::read_mode::watch, {relay::store_era{}, relay::revision{20}});
+    const auto before = updates();
+    EXPECT_TRUE(run_until([&] { return updates() > before + 1; })) << "the process has stopped reading";
+}
+
 // Guards against a reader that waits for ever for the end of a call because decoding its response threw an exception:
 // here a value that takes more memory than a node has.
 TEST_F(store_task_test, response_that_cannot_be_decoded_is_a_failed_call)
