Ignore closed connections in the platform of store_task_test

Cause: a write to a connection that the task has closed could raise SIGPIPE and end the test program. Not seen; found by reading.

--- a/tests/unit/unit-runtime-store.cpp
+++ b/tests/unit/unit-runtime-store.cpp
@@ -103,7 +103,7 @@
         it.readable = io_event(m_kernel.base(), fd, EV_READ | EV_PERSIST, [this, &it] { answer(it); });
         it.readable.add();
         it.answer = io_event(m_kernel.base(), [this, &it] {
-            const auto n = write(it.fd, it.unsent.data(), it.unsent.size());
+            const auto n = send(it.fd, it.unsent.data(), it.unsent.size(), MSG_NOSIGNAL);
             if (n <= 0 && errno != EAGAIN) {
                 // The task has given the call up.
                 return;
