Satisfy the linter in the tests of odd entries

Cause: clang-tidy rejects a product of int that is widened to rlim_t, and the name of GoogleTest's hook PrintTo.

--- a/tests/process/unit-process-relay.cpp
+++ b/tests/process/unit-process-relay.cpp
@@ -170,7 +170,7 @@
 // memory to decode than a node has.
 TEST_F(relay_process_test, deeply_nested_entry_stops_no_process)
 {
-    constexpr rlim_t node_bytes = 64 * 1024 * 1024;
+    constexpr rlim_t node_bytes = rlim_t{64} * 1024 * 1024;
     constexpr std::size_t max_value_bytes = 1'048'576;
     rlimit former{};
     getrlimit(RLIMIT_DATA, &former);
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -145,7 +145,7 @@
     std::string value;
 };
 
-void PrintTo(const odd_entry& it, std::ostream* out) { *out << it.name; }
+std::ostream& operator<<(std::ostream& out, const odd_entry& it) { return out << it.name; }
 
 /// Entries that another writer left under the key of a host.
 class odd_entry_test : public platform_store_test, public ::testing::WithParamInterface<odd_entry>
@@ -173,7 +173,7 @@
     /// Largest value that the store accepts.
     static constexpr std::size_t value_bytes = 1'048'576;
     /// Memory of a node at the two-year size (docs/design.md, section 2).
-    static constexpr rlim_t node_bytes = 64 * 1024 * 1024;
+    static constexpr rlim_t node_bytes = rlim_t{64} * 1024 * 1024;
     /// Covers the key and the reason of a rejected entry in the log.
     static constexpr std::size_t max_log_bytes = 400;
 
--- a/tests/unit/unit-runtime-store.cpp
+++ b/tests/unit/unit-runtime-store.cpp
@@ -209,7 +209,7 @@
 // here a value that takes more memory than a node has.
 TEST_F(store_task_test, response_that_cannot_be_decoded_is_a_failed_call)
 {
-    constexpr rlim_t node_bytes = 64 * 1024 * 1024;
+    constexpr rlim_t node_bytes = rlim_t{64} * 1024 * 1024;
     constexpr std::size_t encoded_bytes = 1'398'104;
     const std::string usable = body;
     body = R"({"items":[{"Key":"op/config","Revision":3,"Value":")";
