--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -12,4 +12,4 @@
 else
     mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$')
 fi
-printf '%s\0' "${units[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy --quiet -p "$build" 2>/dev/null
+printf '%s\0' "${units[@]}" | xargs -0 -n 1 -P "$(nproc)" scripts/tidy.sh "$build"
