Find open flows at former services after restarts

A process that starts after a route has lost a service did not know the former service: its searches asked only the hosts of the present services, and reset flows that were open at the others. The former services were kept by each process from the versions that it saw itself.

Ruled out: the agents of the former service tell the others (one that has restarted doesn't know its flows), older revisions of the store (its history may be gone), searching all services always (messages to the whole fleet).

Each view now keeps a route_history: what each route has lost in the lifetime of a flow, and since when that is complete. It travels with the whole view and, to a subscriber with a shorter history, with the news. While it is short, search_scope asks the hosts of all services, at a bounded rate. A route that was dropped keeps its services as former ones.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -45,6 +45,8 @@
     std::uint32_t question = 0;
     /// Era of the revision; 0 also from a process of a build without eras.
     store_era era{};
+    /// Time for which the sender knows all former services of the routes; 0 if it cannot be told any.
+    core::milliseconds past{0};
 
     [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -8,6 +8,7 @@
 #include "daisydoor/relay/host_health.hpp"
 #include "daisydoor/relay/placement.hpp"
 #include "daisydoor/relay/request_profile.hpp"
+#include "daisydoor/relay/search_scope.hpp"
 
 #include <deque>
 #include <optional>
@@ -157,8 +158,9 @@
         core::time_point phase_started_at;
         /// Peers that have not answered the search yet.
         std::vector<ipv4> unanswered_peers;
-        /// Peers that were asked.
+        /// Peers that were asked, in ascending order.
         std::vector<ipv4> asked_peers;
+        bool all_peers_asked = false;
         /// Packet that the search sends to peers; empty outside the phases searching and unconfirmed.
         wire::buffer search_packet;
         std::uint32_t search_repeats = 0;
@@ -216,6 +218,7 @@
     void on_returned_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_returned_opening(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     [[nodiscard]] static bool acknowledges_other_host(const flow_record& record, const packet& value) noexcept;
+    void on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now);
     void await_confirmation(flow_record& record, const flow_key& flow, core::time_point now);
     void declare_lost(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
                       core::time_point now, actions& out);
@@ -254,7 +257,6 @@
     std::vector<peer_load> gather_peers(const known_route& route, const flow_key& flow, bool all,
                                         core::time_point now) const;
     void update_load_peers(core::time_point now);
-    std::vector<ipv4> possible_owners(const known_route& route) const;
 
     struct reported_load
     {
@@ -265,6 +267,7 @@
 
     agent_relay_options m_options;
     const fleet_view& m_view;
+    search_scope m_search_scope;
     flow_map m_flows;
     admission_queue m_admission;
     host_health m_health;
--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -161,6 +161,28 @@
     core::milliseconds disputed{0};
 };
 
+/// @brief A service that a route no longer names; flows that were opened before may still be open at its hosts.
+struct former_service
+{
+    ipv4 address{};
+    std::uint16_t port = 0;
+    std::string service;
+    /// Time since the route lost the service.
+    core::milliseconds age{0};
+};
+
+/// @brief What a process knows about the former services of all routes.
+struct routes_past
+{
+    /// Version of the routes up to which it reaches.
+    route_version version{};
+    /// Time for which no loss of a service is missing; 0 if nothing is known.
+    core::milliseconds complete_for{0};
+    std::vector<former_service> former;
+    /// Whether the sender knows more, which its whole view has.
+    bool is_partial = false;
+};
+
 /// @brief Part of the published state, as read from the platform or received from a peer.
 struct fleet_update
 {
@@ -176,6 +198,8 @@
     /// The changes come from a whole read: they lack what came and went since the position before, and apply only to
     /// that very position.
     bool exact = false;
+    /// Former services that the sender knows.
+    routes_past past = {};
 
     [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daisydoor/relay/fleet.hpp"
+#include "daisydoor/relay/route_history.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace daisydoor::relay
@@ -55,7 +57,8 @@
     relay::route value;
     std::vector<choice> services;
     std::uint64_t total_weight = 0;
-    /// Services that earlier versions of the route named; flows opened then may still be open there.
+    /// Services that the route has lost in the lifetime of a flow, as far as they are known; flows opened before may
+    /// still be open there.
     std::vector<service_index> former_services;
 
     /// @brief Whether the route sends new flows to a service.
@@ -103,7 +106,8 @@
 class fleet_view
 {
   public:
-    explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat);
+    explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat,
+                        route_history history = route_history());
 
     /// @brief Applies an update; values older than the view's are ignored. A whole set of routes is older if its
     /// version is, wherever in the store's history the update belongs.
@@ -115,8 +119,8 @@
         m_regained_at = m_regained_at ? std::max(*m_regained_at, at) : at;
     }
 
-    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago. Complexity:
-    /// linear in both.
+    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago, and former
+    /// services. Complexity: linear in these.
     /// @return the number of hosts removed
     std::size_t expire(core::time_point now);
 
@@ -138,6 +142,11 @@
     {
         return m_idle_timeout.count() > 0 ? m_idle_timeout : default_idle_timeout;
     }
+    /// @brief Whether the present and former services of a route are all at which its flows may be open.
+    [[nodiscard]] bool knows_former_services(core::time_point now) const { return m_history.is_complete(now); }
+    [[nodiscard]] const route_history& history() const noexcept { return m_history; }
+    /// @brief Takes over what a peer knows about former services.
+    void learn_past(const routes_past& value, core::time_point now);
     [[nodiscard]] std::size_t route_count() const noexcept { return m_routes.size(); }
 
     /// @return nullptr if no route has this address. Complexity: constant; no allocation.
@@ -204,12 +213,15 @@
     std::vector<fleet_change> apply_changes(const fleet_update& update, bool is_newer_whole, core::time_point now,
                                             view_change& result);
     /// @brief Applies one change. @return what it changed
-    view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
+    /// @param is_gapless whether the change follows the one before
+    view_change apply_change(const fleet_change& change, bool is_gapless, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
     [[nodiscard]] std::vector<std::string> hosts_not_named(const fleet_update& whole) const;
-    bool apply_newer_routes(const fleet_update& update);
-    bool apply_routes(const route_set& value, relay::revision at);
-    bool apply_delta(const route_delta& value, relay::revision at);
+    bool apply_newer_routes(const fleet_update& update, core::time_point now);
+    bool apply_routes(const route_set& value, relay::revision at, bool is_gapless, core::time_point now);
+    bool apply_delta(const route_delta& value, relay::revision at, bool is_gapless, core::time_point now);
+    void record_lost_services(const known_route& before, const known_route* after, core::time_point now);
+    void refresh_former_services();
     [[nodiscard]] std::vector<route> sorted_routes() const;
     void append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to, route_version routes_before,
                        const std::vector<route>& before);
@@ -228,7 +240,8 @@
     std::optional<core::time_point> m_regained_at;
     std::unordered_map<std::string, service_index> m_service_indices;
     std::unordered_map<route_key, known_route> m_routes;
-    std::unordered_map<route_key, std::vector<service_index>> m_dropped_routes;
+    std::unordered_set<route_key> m_dropped_routes;
+    route_history m_history;
     std::map<std::string, known_host> m_hosts;
     std::unordered_map<std::string, removed_host> m_removed_hosts;
     /// Whether a host may be disputed; spares a pass over all hosts on every tick.
--- a/include/daisydoor/relay/placement.hpp
+++ b/include/daisydoor/relay/placement.hpp
@@ -24,7 +24,8 @@
                               const std::function<bool(ipv4)>& is_avoided);
 
 /// @brief Chooses the agent to which an entry sends a packet of a flow that is in no table: the first by rendezvous
-/// hashing among all hosts that may have the flow, in any state.
+/// hashing among the hosts of the route's present and known former services, in any state, so that all entries choose
+/// the same; among all hosts if there is none.
 /// @return nullptr if no host is known
 const known_host* choose_likely_owner(const fleet_view& view, const known_route& route, std::uint64_t flow_hash,
                                       const std::function<bool(ipv4)>& is_avoided);
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -120,6 +120,8 @@
         std::uint32_t question = 0;
         /// When the question arrived, if it is not answered yet.
         std::optional<core::time_point> asked_at;
+        /// Time for which it knows all former services; 0 once it was told more.
+        core::milliseconds past{0};
     };
 
     struct source_state
@@ -134,7 +136,11 @@
     [[nodiscard]] bool is_incomparable(store_position position) const noexcept;
     void choose_readers();
     void choose_sources(core::time_point now);
-    void subscribe(actions& out) const;
+    void subscribe(core::time_point now, actions& out) const;
+    /// @brief The subscription that this process sends, with a question if it is not 0.
+    [[nodiscard]] fleet_subscribe subscription(std::uint32_t question, core::time_point now) const;
+    /// @brief The former services that fit into a datagram, the latest first.
+    [[nodiscard]] routes_past past_of_one_datagram(core::time_point now) const;
     void send_changes(ipv4 to, subscriber& subscription, std::uint32_t answered, core::time_point now, actions& out);
     /// @brief Whether the sender's confirmation by the platform also holds for this process's view.
     [[nodiscard]] bool is_complete_for(const fleet_news& value) const noexcept;
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
-    : m_options(std::move(options)), m_view(view)
+    : m_options(std::move(options)), m_view(view), m_search_scope(view, m_options.self)
 {
 }
 
@@ -362,16 +362,7 @@
             record.last_activity_at = now;
         }
     } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
-        const auto it = m_flows.find(unknown->flow);
-        if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
-            return;
-        }
-        auto& unanswered_peers = it->second.unanswered_peers;
-        unanswered_peers.erase(std::remove(unanswered_peers.begin(), unanswered_peers.end(), from),
-                               unanswered_peers.end());
-        if (unanswered_peers.empty()) {
-            await_confirmation(it->second, unknown->flow, now);
-        }
+        on_flow_unknown(from, unknown->flow, now);
     }
 }
 
--- a/src/relay/agent_search.cpp
+++ b/src/relay/agent_search.cpp
@@ -47,19 +47,18 @@
 
 bool agent_relay::ask_possible_owners(flow_record& record, const flow_key& flow, core::time_point now, actions& out)
 {
-    const auto* route = m_view.find_route(flow.service, flow.service_port);
-    const auto owners = route != nullptr ? possible_owners(*route) : std::vector<ipv4>();
+    const auto round = m_search_scope.plan(flow, record.asked_peers, now);
     auto& unanswered_peers = record.unanswered_peers;
-    const auto is_gone = [&owners](ipv4 it) { return !std::binary_search(owners.begin(), owners.end(), it); };
+    const auto is_gone = [&round](ipv4 it) {
+        return !std::binary_search(round.owners.begin(), round.owners.end(), it);
+    };
     unanswered_peers.erase(std::remove_if(unanswered_peers.begin(), unanswered_peers.end(), is_gone),
                            unanswered_peers.end());
-    for (const auto it : owners) {
-        if (std::find(record.asked_peers.begin(), record.asked_peers.end(), it) == record.asked_peers.end()) {
-            record.asked_peers.push_back(it);
-            unanswered_peers.push_back(it);
-        }
-    }
-    if (unanswered_peers.empty()) {
+    unanswered_peers.insert(unanswered_peers.end(), round.next.begin(), round.next.end());
+    record.asked_peers.insert(record.asked_peers.end(), round.next.begin(), round.next.end());
+    std::sort(record.asked_peers.begin(), record.asked_peers.end());
+    record.all_peers_asked = round.is_whole;
+    if (unanswered_peers.empty() && round.is_whole) {
         return false;
     }
     const wire::bytes_view bytes{record.search_packet.data(), record.search_packet.size()};
@@ -88,6 +87,19 @@
     }
 }
 
+void agent_relay::on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now)
+{
+    const auto it = m_flows.find(flow);
+    if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
+        return;
+    }
+    auto& unanswered_peers = it->second.unanswered_peers;
+    unanswered_peers.erase(std::remove(unanswered_peers.begin(), unanswered_peers.end(), from), unanswered_peers.end());
+    if (unanswered_peers.empty() && it->second.all_peers_asked) {
+        await_confirmation(it->second, flow, now);
+    }
+}
+
 void agent_relay::await_confirmation(flow_record& record, const flow_key& flow, core::time_point now)
 {
     set_phase(record, flow_phase::unconfirmed, now);
@@ -167,23 +179,4 @@
     return m_options.host_may_have_earlier_flows && now - m_options.started_at < m_options.flow_ttl;
 }
 
-std::vector<ipv4> agent_relay::possible_owners(const known_route& route) const
-{
-    std::vector<ipv4> result;
-    const auto add = [&](service_index service) {
-        for (const auto* it : m_view.hosts_of(service)) {
-            if (it->value.address != m_options.self) {
-                result.push_back(it->value.address);
-            }
-        }
-    };
-    for (const auto& choice : route.services) {
-        add(choice.service);
-    }
-    std::for_each(route.former_services.begin(), route.former_services.end(), add);
-    std::sort(result.begin(), result.end());
-    result.erase(std::unique(result.begin(), result.end()), result.end());
-    return result;
-}
-
 } // namespace daisydoor::relay
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -97,14 +97,27 @@
         pack_routes(builder, delta.version, delta.base, delta.idle_timeout, delta.changed, delta.dropped));
 }
 
+flatbuffers::Offset<wire::fleet_past> pack(flatbuffers::FlatBufferBuilder& builder, const routes_past& value)
+{
+    std::vector<flatbuffers::Offset<wire::fleet_former_service>> former;
+    for (const auto& it : value.former) {
+        former.push_back(wire::Createfleet_former_service(builder, static_cast<std::uint32_t>(it.address), it.port,
+                                                          builder.CreateSharedString(it.service), to_wire(it.age)));
+    }
+    return wire::Createfleet_past(builder, static_cast<std::uint64_t>(value.version), to_wire(value.complete_for),
+                                  builder.CreateVector(former), value.is_partial);
+}
+
 flatbuffers::Offset<wire::fleet_update> pack(flatbuffers::FlatBufferBuilder& builder, const fleet_update& value)
 {
     std::vector<flatbuffers::Offset<wire::fleet_change>> changes;
     for (const auto& it : value.changes) {
         changes.push_back(pack(builder, it));
     }
-    return wire::Createfleet_update(builder, static_cast<std::uint64_t>(value.revision), value.whole,
-                                    builder.CreateVector(changes), static_cast<std::uint64_t>(value.era), value.exact);
+    const auto packed_changes = builder.CreateVector(changes);
+    const auto past = value.past.complete_for.count() > 0 ? pack(builder, value.past) : 0;
+    return wire::Createfleet_update(builder, static_cast<std::uint64_t>(value.revision), value.whole, packed_changes,
+                                    static_cast<std::uint64_t>(value.era), value.exact, past);
 }
 
 host from_wire(const wire::fleet_host& value)
@@ -161,6 +174,21 @@
     change.value.emplace<route_delta>(std::move(delta));
 }
 
+routes_past from_wire(const wire::fleet_past& value)
+{
+    routes_past result;
+    result.version = route_version{value.version()};
+    result.complete_for = core::milliseconds(value.complete_for_ms());
+    result.is_partial = value.partial();
+    if (value.former() != nullptr) {
+        for (const auto* it : *value.former()) {
+            result.former.push_back(
+                {ipv4{it->address()}, it->port(), it->service()->str(), core::milliseconds(it->age_ms())});
+        }
+    }
+    return result;
+}
+
 fleet_update from_wire(const wire::fleet_update& value)
 {
     fleet_update result;
@@ -168,6 +196,9 @@
     result.whole = value.whole();
     result.era = store_era{value.era()};
     result.exact = value.exact();
+    if (value.past() != nullptr) {
+        result.past = from_wire(*value.past());
+    }
     for (const auto* it : *value.changes()) {
         fleet_change change;
         change.revision = revision{it->revision()};
@@ -228,9 +259,10 @@
         body = wire::Createflow_unknown(builder, &flow).Union();
     } else if (const auto* subscribe = std::get_if<fleet_subscribe>(&value)) {
         type = wire::relay_body::fleet_subscribe;
-        body = wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision),
-                                           subscribe->question, static_cast<std::uint64_t>(subscribe->era))
-                   .Union();
+        body =
+            wire::Createfleet_subscribe(builder, static_cast<std::uint64_t>(subscribe->revision), subscribe->question,
+                                        static_cast<std::uint64_t>(subscribe->era), to_wire(subscribe->past))
+                .Union();
     } else if (const auto* news = std::get_if<fleet_news>(&value)) {
         type = wire::relay_body::fleet_news;
         const auto update = pack(builder, news->update);
@@ -264,7 +296,8 @@
         return flow_unknown{from_wire(*unknown->flow())};
     }
     if (const auto* subscribe = root->body_as_fleet_subscribe()) {
-        return fleet_subscribe{revision{subscribe->revision()}, subscribe->question(), store_era{subscribe->era()}};
+        return fleet_subscribe{revision{subscribe->revision()}, subscribe->question(), store_era{subscribe->era()},
+                               core::milliseconds(subscribe->past_ms())};
     }
     if (const auto* news = root->body_as_fleet_news()) {
         return fleet_news{core::milliseconds(news->age_ms()),
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -7,33 +7,14 @@
 namespace daisydoor::relay
 {
 
-namespace
-{
-
-/// Bounds the history of a route whose services keep changing.
-constexpr std::size_t max_former_services = 8;
-
-void add_former(std::vector<service_index>& former_services, service_index service)
-{
-    if (std::find(former_services.begin(), former_services.end(), service) != former_services.end()) {
-        return;
-    }
-    if (former_services.size() == max_former_services) {
-        former_services.erase(former_services.begin());
-    }
-    former_services.push_back(service);
-}
-
-} // namespace
-
 bool known_route::allows(service_index service) const noexcept
 {
     return std::any_of(services.begin(), services.end(),
                        [service](const choice& it) { return it.service == service && it.weight > 0; });
 }
 
-fleet_view::fleet_view(std::string own_zone, core::milliseconds host_heartbeat)
-    : m_own_zone(std::move(own_zone)), m_host_heartbeat(host_heartbeat)
+fleet_view::fleet_view(std::string own_zone, core::milliseconds host_heartbeat, route_history history)
+    : m_own_zone(std::move(own_zone)), m_host_heartbeat(host_heartbeat), m_history(std::move(history))
 {
 }
 
@@ -48,7 +29,7 @@
     return m_service_indices.emplace(name, next).first->second;
 }
 
-view_change fleet_view::apply_change(const fleet_change& change, core::time_point now, bool is_new_era)
+view_change fleet_view::apply_change(const fleet_change& change, bool is_gapless, core::time_point now, bool is_new_era)
 {
     view_change result;
     if (std::holds_alternative<host>(change.value)) {
@@ -57,9 +38,9 @@
     } else if (const auto* removal = std::get_if<host_removed>(&change.value)) {
         result.hosts = apply_removal(removal->id, change.revision, now, is_new_era) ? 1 : 0;
     } else if (const auto* routes = std::get_if<route_set>(&change.value)) {
-        result.routes = apply_routes(*routes, change.revision);
+        result.routes = apply_routes(*routes, change.revision, is_gapless, now);
     } else if (const auto* delta = std::get_if<route_delta>(&change.value)) {
-        result.routes = apply_delta(*delta, change.revision);
+        result.routes = apply_delta(*delta, change.revision, is_gapless, now);
     }
     return result;
 }
@@ -110,12 +91,13 @@
                                                     core::time_point now, view_change& result)
 {
     std::vector<fleet_change> applied;
+    const bool is_gapless = !update.whole && !update.exact;
     for (const auto& change : update.changes) {
         const bool is_route_set = std::holds_alternative<route_set>(change.value);
         if (!is_newer_whole && !is_route_set && change.revision <= m_position.revision) {
             continue;
         }
-        const auto effect = apply_change(change, now, result.is_new_era);
+        const auto effect = apply_change(change, is_gapless, now, result.is_new_era);
         result.hosts += effect.hosts;
         result.routes = result.routes || effect.routes;
         if (effect.changes_view()) {
@@ -136,7 +118,8 @@
     result.is_from_former_era = update.era < m_position.era;
     if (result.is_from_former_era || (!update.whole && position <= m_position)) {
         // Routes have an order of their own.
-        result.routes = apply_newer_routes(update);
+        result.routes = apply_newer_routes(update, now);
+        learn_past(update.past, now);
         return result;
     }
     const auto version_before = m_version;
@@ -181,10 +164,11 @@
     if (result.hosts > 0) {
         index_hosts();
     }
+    learn_past(update.past, now);
     return result;
 }
 
-bool fleet_view::apply_delta(const route_delta& value, relay::revision at)
+bool fleet_view::apply_delta(const route_delta& value, relay::revision at, bool is_gapless, core::time_point now)
 {
     if (value.base != m_version) {
         return false;
@@ -203,25 +187,27 @@
         }
     }
     whole.routes.insert(whole.routes.end(), value.changed.begin(), value.changed.end());
-    return apply_routes(whole, at);
+    return apply_routes(whole, at, is_gapless, now);
 }
 
-bool fleet_view::apply_newer_routes(const fleet_update& update)
+bool fleet_view::apply_newer_routes(const fleet_update& update, core::time_point now)
 {
     bool result = false;
     for (const auto& it : update.changes) {
         if (const auto* routes = std::get_if<route_set>(&it.value)) {
-            result = apply_routes(*routes, m_position.revision) || result;
+            result = apply_routes(*routes, m_position.revision, false, now) || result;
         }
     }
     return result;
 }
 
-bool fleet_view::apply_routes(const route_set& value, relay::revision at)
+bool fleet_view::apply_routes(const route_set& value, relay::revision at, bool is_gapless, core::time_point now)
 {
     if (value.version <= m_version) {
         return false;
     }
+    const bool is_next = static_cast<std::uint64_t>(value.version) == static_cast<std::uint64_t>(m_version) + 1;
+    m_history.on_version(value.version, is_gapless || is_next, now);
     auto before = std::exchange(m_routes, {});
     for (const auto& it : value.routes) {
         const auto key = key_of(it.address, it.port);
@@ -232,26 +218,52 @@
             entry.total_weight += choice.weight;
         }
         if (const auto old = before.find(key); old != before.end()) {
-            entry.former_services = std::move(old->second.former_services);
-            for (const auto& choice : old->second.services) {
-                add_former(entry.former_services, choice.service);
-            }
+            record_lost_services(old->second, &entry, now);
             before.erase(old);
-        } else if (const auto dropped = m_dropped_routes.find(key); dropped != m_dropped_routes.end()) {
-            entry.former_services = std::move(dropped->second);
         }
         m_dropped_routes.erase(key);
         m_routes.insert_or_assign(key, std::move(entry));
     }
-    for (auto& [key, old] : before) {
-        m_dropped_routes.insert_or_assign(key, std::move(old.former_services));
+    for (const auto& [key, old] : before) {
+        record_lost_services(old, nullptr, now);
+        m_dropped_routes.insert(key);
     }
+    refresh_former_services();
     m_version = value.version;
     m_routes_revision = at;
     m_idle_timeout = value.idle_timeout;
     return true;
 }
 
+void fleet_view::record_lost_services(const known_route& before, const known_route* after, core::time_point now)
+{
+    for (std::size_t i = 0; i < before.services.size(); ++i) {
+        const auto is_same = [&](const known_route::choice& it) { return it.service == before.services[i].service; };
+        if (after == nullptr || std::none_of(after->services.begin(), after->services.end(), is_same)) {
+            m_history.add({before.value.address, before.value.port, before.value.services[i].service}, now);
+        }
+    }
+}
+
+void fleet_view::refresh_former_services()
+{
+    for (auto& [key, entry] : m_routes) {
+        entry.former_services.clear();
+    }
+    for (const auto& [lost, at] : m_history.former()) {
+        if (const auto it = m_routes.find(key_of(lost.address, lost.port)); it != m_routes.end()) {
+            it->second.former_services.push_back(intern(lost.service));
+        }
+    }
+}
+
+void fleet_view::learn_past(const routes_past& value, core::time_point now)
+{
+    if (m_history.merge(value, now)) {
+        refresh_former_services();
+    }
+}
+
 const known_route* fleet_view::find_route(ipv4 address, std::uint16_t port) const
 {
     const auto it = m_routes.find(key_of(address, port));
--- a/src/relay/fleet_view_log.cpp
+++ b/src/relay/fleet_view_log.cpp
@@ -116,6 +116,7 @@
             routes.routes.push_back(entry.value);
         }
         result.changes.push_back({m_routes_revision, std::move(routes)});
+        result.past = m_history.describe(now);
     }
     return result;
 }
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -121,14 +121,17 @@
     constexpr int avoided = 1;
     const known_host* result = nullptr;
     rank best;
+    const auto consider_host = [&](const known_host& it) {
+        const rank candidate{is_avoided(it.value.address) ? avoided : 0,
+                             core::rendezvous_distance(flow_hash, it.rendezvous_key)};
+        if (candidate < best) {
+            best = candidate;
+            result = &it;
+        }
+    };
     const auto consider = [&](service_index service) {
         for (const auto* it : view.hosts_of(service)) {
-            const rank candidate{is_avoided(it->value.address) ? avoided : 0,
-                                 core::rendezvous_distance(flow_hash, it->rendezvous_key)};
-            if (candidate < best) {
-                best = candidate;
-                result = it;
-            }
+            consider_host(*it);
         }
     };
     for (const auto& choice : route.services) {
@@ -137,6 +140,12 @@
     for (const auto service : route.former_services) {
         consider(service);
     }
+    if (result == nullptr) {
+        // Any agent can search for the flow.
+        for (const auto& [id, it] : view.hosts()) {
+            consider_host(it);
+        }
+    }
     return result;
 }
 
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -15,6 +15,8 @@
 
 /// Key of the rendezvous hashing by which all processes choose the same readers.
 constexpr std::uint64_t reader_key = 0x7265616465727331;
+/// Maximum number of former services in a datagram, which holds about 20 with names of 15 bytes.
+constexpr std::size_t max_told_services = 64;
 /// Largest age that a message can carry; also stands for never.
 constexpr core::milliseconds max_age{0xffffffff};
 
@@ -80,6 +82,7 @@
     }
     subscription.last_message_at = now;
     subscription.awaits_fetch = false;
+    subscription.past = value.past;
     if (m_is_reader && value.question != 0 && (value.question != subscription.question || !subscription.asked_at)) {
         subscription.question = value.question;
         subscription.asked_at = now;
@@ -118,6 +121,15 @@
         part.revision = m_view.revision();
         part.era = m_view.era();
     }
+    if (!subscription.awaits_fetch && m_view.history().helps(subscription.past, subscribe_interval, now)) {
+        if (!parts.back().changes.empty()) {
+            auto& part = parts.emplace_back();
+            part.revision = m_view.revision();
+            part.era = m_view.era();
+        }
+        parts.back().past = past_of_one_datagram(now);
+        subscription.past = core::milliseconds(0);
+    }
     for (auto& part : parts) {
         // The state is complete only with the last part.
         const bool is_last = &part == &parts.back();
@@ -137,6 +149,17 @@
     }
 }
 
+routes_past view_sync::past_of_one_datagram(core::time_point now) const
+{
+    fleet_update result;
+    for (std::size_t n = max_told_services;; n /= 2) {
+        result.past = m_view.history().describe(now, n);
+        if (n == 0 || m_encoded_size(result) <= max_update_datagram_bytes) {
+            return result.past;
+        }
+    }
+}
+
 bool view_sync::is_incomparable(store_position position) const noexcept
 {
     return position.era == store_era{} && m_view.era() != store_era{} && m_view.has_changed_era();
@@ -191,9 +214,12 @@
     }
     // A source that sends an older position has not received the subscription after the latest fetch yet.
     const bool must_fetch = value.fetch && after >= m_view.position();
+    m_view.learn_past(value.update.past, now);
+    const bool lacks_past = value.update.past.is_partial && value.update.past.version >= m_view.version() &&
+                            !m_view.knows_former_services(now);
     // The copy that a restored store returned to may have older routes than the source.
     const bool lacks_routes = value.update.position() <= m_view.position() && value.version > m_view.version();
-    if (((is_behind && (must_fetch || result.needs_whole)) || lacks_routes) && !m_fetching) {
+    if (((is_behind && (must_fetch || result.needs_whole)) || lacks_routes || lacks_past) && !m_fetching) {
         m_fetching = true;
         out.push_back(fetch_view{from});
     } else if (is_behind && ((value.fetch && !must_fetch) || (!value.fetch && !is_applicable))) {
@@ -225,8 +251,7 @@
     }
     if (!m_question_at) {
         m_question_at = now;
-        out.push_back(
-            send_message{m_sources.front(), fleet_subscribe{m_view.revision(), question_number_at(now), m_view.era()}});
+        out.push_back(send_message{m_sources.front(), subscription(question_number_at(now), now)});
     }
     return now - *m_question_at > question_timeout;
 }
@@ -352,14 +377,22 @@
     }
     choose_sources(now);
     m_next_subscribe = now + subscribe_interval;
-    subscribe(out);
+    subscribe(now, out);
 }
 
-void view_sync::subscribe(actions& out) const
+void view_sync::subscribe(core::time_point now, actions& out) const
 {
     for (const auto it : m_sources) {
-        out.push_back(send_message{it, fleet_subscribe{m_view.revision(), 0, m_view.era()}});
+        out.push_back(send_message{it, subscription(0, now)});
     }
 }
 
+fleet_subscribe view_sync::subscription(std::uint32_t question, core::time_point now) const
+{
+    // A process without a view gets the history with the whole view.
+    const auto past =
+        m_view.is_ready() ? std::max(m_view.history().complete_for(now), core::milliseconds(1)) : core::milliseconds(0);
+    return {m_view.revision(), question, m_view.era(), past};
+}
+
 } // namespace daisydoor::relay
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -21,6 +21,8 @@
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
         {"view_age_ms", "", static_cast<double>(m_sync.age(core::clock::now()).count()), false},
+        {"former_services", "", static_cast<double>(m_view.history().former().size()), false},
+        {"routes_past_ms", "", static_cast<double>(m_view.history().complete_for(core::clock::now()).count()), false},
         {"route_version", "", static_cast<double>(static_cast<std::uint64_t>(m_view.version())), false}};
     for (std::size_t i = 0; i < m_decisions.size(); ++i) {
         message.samples.push_back(
@@ -54,6 +56,13 @@
                                    {"lapsing", entry.grace_ends_at.has_value()},
                                    {"disputed", entry.disputed_until.has_value()}});
     }
+    const auto past = m_view.history().describe(core::clock::now());
+    result["routes_past_ms"] = past.complete_for.count();
+    for (const auto& it : past.former) {
+        result["former_services"].push_back({{"route", to_string(relay::endpoint_of(it.address, it.port))},
+                                             {"service", it.service},
+                                             {"age_ms", it.age.count()}});
+    }
     if (m_agent) {
         const auto load = m_agent->load();
         result["load"] = {{"in_flight", load.in_flight},
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -89,7 +89,8 @@
 relay_task::relay_task(kernel& owner, const relay_settings& process_settings, store_task& store, const log_output& log)
     : m_kernel(owner), m_settings(process_settings), m_store(store), m_log(log),
       m_own_address(relay::ipv4_of(process_settings.packets)),
-      m_view(process_settings.zone, process_settings.host_heartbeat),
+      m_view(process_settings.zone, process_settings.host_heartbeat,
+             relay::route_history(process_settings.flow_ttl, process_settings.first_start)),
       m_sync(m_own_address, seeds_of(process_settings), m_view, &encoded_size),
       m_packets(
           owner.base(), process_settings.packets,
--- a/tests/unit/unit-relay-search.cpp
+++ b/tests/unit/unit-relay-search.cpp
@@ -148,5 +148,55 @@
     EXPECT_TRUE(emitted<reset_client>().empty());
 }
 
+// Guards against a reset of a flow that is open at a host of a former service: a process that has just started knows
+// none of them.
+TEST_F(agent_search_test, search_of_started_process_asks_hosts_of_all_services)
+{
+    add_host(m_view, make_host(9, "other"));
+    search_without_owner();
+    confirm_view();
+    EXPECT_TRUE(emitted<reset_client>().empty()) << "the host of the other service has not answered";
+    on_message(agent_address(9), flow_found{make_flow(), {}});
+    on_packet(make_packet(make_flow()));
+    ASSERT_EQ(emitted<send_to_agent>().size(), 1U);
+    EXPECT_EQ(emitted<send_to_agent>()[0].agent, agent_address(9));
+}
+
+// Guards against messages to the whole fleet for each flow that is searched.
+TEST_F(agent_search_test, search_with_known_history_asks_present_and_former_services)
+{
+    add_host(m_view, make_host(8, "former"));
+    add_host(m_view, make_host(9, "other"));
+    advance(default_flow_ttl + late_view_time);
+    set_routes(m_view, {make_route({{"former", 1}, {"svc", 1}})});
+    set_routes(m_view, {make_route({{"svc", 1}})});
+    on_packet(make_packet(make_flow()));
+    const auto sent = emitted<send_to_agent>();
+    ASSERT_EQ(sent.size(), 3U);
+    EXPECT_EQ(sent[2].agent, agent_address(8));
+}
+
+// Guards against a flood of questions after all processes of a large fleet were killed, and against a reset before the
+// last host was asked.
+TEST_F(agent_search_test, questions_outside_route_are_bounded)
+{
+    constexpr std::uint32_t others = 700;
+    for (std::uint32_t n = 10; n < 10 + others; ++n) {
+        add_host(m_view, make_host(n, "other"));
+    }
+    on_packet(make_packet(make_flow()));
+    EXPECT_EQ(emitted<send_to_agent>().size(), 2U + max_wide_questions);
+    on_packet(make_packet(make_flow(40002)));
+    EXPECT_EQ(emitted<send_to_agent>().size(), 2U);
+    for (std::uint32_t n = 2; n < 10 + others; ++n) {
+        on_message(agent_address(n), flow_unknown{make_flow()});
+    }
+    confirm_view();
+    EXPECT_TRUE(emitted<reset_client>().empty());
+    tick(search_repeat_interval);
+    // The rest of the first flow, then as many for the second.
+    EXPECT_EQ(emitted<send_to_agent>().size(), 2U + max_wide_questions);
+}
+
 } // namespace
 } // namespace daisydoor::relay
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -3,6 +3,7 @@
 
 #include "relay_fixture.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -52,7 +53,10 @@
     {
         actions out;
         const auto newer = m_platform.changes_after(value.view.position());
-        const auto change = value.view.apply(newer ? *newer : m_platform.snapshot(m_now), m_now);
+        auto state = newer ? *newer : m_platform.snapshot(m_now);
+        // The platform knows nothing of former services.
+        state.past = {};
+        const auto change = value.view.apply(state, m_now);
         value.sync->on_confirmed(m_now);
         if (change.routes || change.hosts > 0) {
             value.sync->on_change(m_now, out);
@@ -119,6 +123,23 @@
         }
     }
 
+    /// Starts a process again, which then reads the platform itself.
+    void restart(ipv4 address)
+    {
+        read(add_process(address));
+        run(core::milliseconds(100));
+    }
+
+    /// Whether a process knows that the route's flows may be open at hosts of a service.
+    bool knows_former(ipv4 address, const std::string& service)
+    {
+        const auto& view = at(address).view;
+        const auto* route = view.find_route(service_address, service_port);
+        const auto index = view.find_service(service);
+        return view.knows_former_services(m_now) && index &&
+               std::count(route->former_services.begin(), route->former_services.end(), *index) > 0;
+    }
+
     std::size_t readers() const
     {
         std::size_t n = 0;
@@ -407,5 +428,70 @@
     EXPECT_EQ(at(entry_address).view.hosts().count("i-5"), 1U);
 }
 
+// Guards against a reset of a flow at a former service's host by processes that started after the change: each read the
+// platform itself, so that it fetches no view.
+TEST_F(view_sync_test, processes_restarted_in_turn_know_former_service)
+{
+    run(default_flow_ttl + late_view_time + core::milliseconds(100));
+    set_routes(m_platform, {make_route({{"new", 1}})});
+    run(core::milliseconds(1000));
+    for (const auto& [address, it] : m_processes) {
+        restart(address);
+        EXPECT_TRUE(knows_former(address, "svc"));
+        run(core::milliseconds(900));
+    }
+}
+
+// Guards against a search that leaves hosts out after all processes were killed at once: nobody knows the former
+// services before the flows of their time have ended.
+TEST_F(view_sync_test, processes_restarted_at_once_know_no_former_services_for_lifetime_of_flow)
+{
+    run(core::milliseconds(500));
+    for (const auto& [address, it] : m_processes) {
+        read(add_process(address));
+    }
+    run(default_flow_ttl);
+    EXPECT_FALSE(at(entry_address).view.knows_former_services(m_now));
+    run(late_view_time);
+    EXPECT_TRUE(at(entry_address).view.knows_former_services(m_now));
+}
+
+// Guards against former services that are lost because they do not fit a datagram.
+TEST_F(view_sync_test, many_former_services_are_fetched)
+{
+    std::vector<route> routes{make_route({{"svc", 1}})};
+    for (std::uint16_t i = 1; i < 100; ++i) {
+        routes.push_back(make_route({{"svc", 1}}, static_cast<std::uint16_t>(service_port + i)));
+    }
+    set_routes(m_platform, routes);
+    run(default_flow_ttl + late_view_time + core::milliseconds(100));
+    for (auto& it : routes) {
+        it.services = {{"new", 1}};
+    }
+    set_routes(m_platform, routes);
+    run(core::milliseconds(500));
+    m_fetches = 0;
+    restart(entry_address);
+    EXPECT_TRUE(knows_former(entry_address, "svc"));
+    EXPECT_EQ(m_fetches, 1);
+    run(core::milliseconds(2000));
+    EXPECT_EQ(m_fetches, 1);
+}
+
+// Guards against bytes for processes that need them no more, or that run an earlier build.
+TEST_F(view_sync_test, only_short_history_is_extended)
+{
+    run(default_flow_ttl + late_view_time + core::milliseconds(100));
+    auto& source = at(at(entry_address).sync->sources()[0]);
+    const auto told = [&](core::milliseconds past) {
+        m_actions.clear();
+        source.sync->on_subscribe(entry_address, {source.view.revision(), 0, {}, past}, m_now, m_actions);
+        return sent_messages<fleet_news>().at(0).second.update.past.complete_for.count() > 0;
+    };
+    EXPECT_TRUE(told(core::milliseconds(1)));
+    EXPECT_FALSE(told(core::milliseconds(0)));
+    EXPECT_FALSE(told(default_flow_ttl + late_view_time));
+}
+
 } // namespace
 } // namespace daisydoor::relay
