Take the load keeping out of the agent core

The agent core kept its flows, the load of its host, the reports of its peers and the choice of these peers in one class, so that the placement couldn't change without it.

Change: load_exchange holds the counts of the own host, the peers that exchange load, their last reports with the flows redirected since, and when the own load is reported. It knows requests and open flows by their number only. What is left of agent_load.cpp, the states of the flow records, is agent_flows.cpp now. No decision, external name or message changes.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -6,7 +6,7 @@
 #include "daisydoor/relay/entry_relay.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
 #include "daisydoor/relay/host_health.hpp"
-#include "daisydoor/relay/placement.hpp"
+#include "daisydoor/relay/load_exchange.hpp"
 #include "daisydoor/relay/request_profile.hpp"
 
 #include <deque>
@@ -30,16 +30,6 @@
 constexpr core::milliseconds probe_interval{300};
 /// Maximum number of agents to which a new flow is forwarded after the first.
 constexpr std::uint8_t max_hops = 3;
-/// Minimum interval between load reports; the margins of the placement allow for reports of this age.
-constexpr core::milliseconds report_interval{100};
-/// Change of the pressure (see pressure_of) that is reported without waiting for the idle interval: well below the
-/// difference at which a flow is redirected (0.25), but large enough that the requests of a host with many slots do not
-/// fill the control traffic.
-constexpr double report_threshold = 0.1;
-/// Interval between load reports without a change; they show peers that the agent is alive.
-constexpr core::milliseconds idle_report_interval{1000};
-/// A peer that has not reported for this long gets no new flows; allows for the loss of two idle reports.
-constexpr core::milliseconds peer_report_timeout{2500};
 /// Interval at which a search is repeated to peers that have not answered; a starting process is ready within about 100
 /// ms.
 constexpr core::milliseconds search_repeat_interval{100};
@@ -100,7 +90,7 @@
     void start_drain() noexcept { m_draining = true; }
 
     [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
-    [[nodiscard]] host_load load() const noexcept;
+    [[nodiscard]] host_load load() const noexcept { return m_load.own_load(accepts()); }
 
   private:
     enum class flow_phase : std::uint8_t
@@ -229,14 +219,13 @@
     /// @brief Records that the client still waits for the answer to its request.
     void record_client_waits(const flow_key& flow, const flow_record& record, core::time_point now);
     [[nodiscard]] core::milliseconds patience_of(const flow_key& flow) const;
-    [[nodiscard]] std::uint32_t slots() const noexcept;
+    [[nodiscard]] std::uint32_t slots() const noexcept { return m_load.slots(); }
     void set_phase(flow_record& record, flow_phase phase, core::time_point now) noexcept;
     void set_fin_seen(flow_record& record, bool client_fin, bool host_fin) noexcept;
     [[nodiscard]] static bool is_open(const flow_record& record) noexcept;
     void clear_host_suspicion(core::time_point now, actions& out);
     void check_openings(core::time_point now, actions& out);
     void check_unclaimed_flows(core::time_point now);
-    void report(core::time_point now, actions& out);
     void sweep(core::time_point now);
     [[nodiscard]] bool is_abandoned(const flow_key& flow, const flow_record& record, core::time_point now) const;
     [[nodiscard]] bool host_may_have_unknown_flow(core::time_point now) const noexcept;
@@ -246,25 +235,11 @@
     /// @brief Whether new flows avoid this agent's host: it is failing, and the share of hosts that may be avoided is
     /// not used up (see may_avoid).
     [[nodiscard]] bool is_avoided() const noexcept;
-    /// @brief Peers to which a flow may be redirected: those that exchange load with this agent or, if neither this
-    /// agent's host nor any of these accepts flows, all.
-    std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, bool own_accepts,
-                                        core::time_point now) const;
-    /// @param all whether peers of this agent's service that do not exchange load with this agent are included
-    std::vector<peer_load> gather_peers(const known_route& route, const flow_key& flow, bool all,
-                                        core::time_point now) const;
-    void update_load_peers(core::time_point now);
     std::vector<ipv4> possible_owners(const known_route& route) const;
 
-    struct reported_load
-    {
-        host_load load;
-        core::time_point at;
-        std::uint32_t flows_redirected = 0;
-    };
-
     agent_relay_options m_options;
     const fleet_view& m_view;
+    load_exchange m_load;
     flow_map m_flows;
     admission_queue m_admission;
     host_health m_health;
@@ -274,22 +249,12 @@
     std::deque<search_repeat> m_search_repeats;
     /// Flows in phase unconfirmed.
     std::vector<flow_key> m_unconfirmed;
-    /// Peers that exchange load with this agent, by address; chosen at m_load_peers_revision of the view.
-    std::vector<ipv4> m_load_peers;
-    revision m_load_peers_revision{};
-    /// Last report of each peer, by its address.
-    std::unordered_map<std::uint32_t, reported_load> m_peer_loads;
-    std::uint32_t m_in_flight = 0;
     request_profile m_profile;
-    std::uint32_t m_open_flows = 0;
     std::uint32_t m_unanswered_openings = 0;
     bool m_suspected = false;
     bool m_draining = false;
     core::time_point m_next_probe;
-    core::time_point m_next_report;
-    core::time_point m_next_idle_report;
     core::time_point m_next_sweep;
-    host_load m_last_report;
     early_openings m_early{agent_opening_age};
     /// Storage for the early opening packets that the last call handled.
     std::deque<early_openings::opening> m_handled_early;
--- a/src/relay/agent_load.cpp
+++ b/src/relay/agent_flows.cpp
@@ -1,8 +1,5 @@
 #include "daisydoor/relay/agent_relay.hpp"
 
-#include <algorithm>
-#include <cmath>
-
 namespace daisydoor::relay
 {
 
@@ -26,47 +23,11 @@
     m_unanswered_openings = 0;
     if (m_suspected) {
         m_suspected = false;
-        m_next_report = now;
+        m_load.report_soon(now);
         out.push_back(decision_record{decision::host_answers, {}, m_options.self, 0, load(), ""});
     }
 }
 
-void agent_relay::report(core::time_point now, actions& out)
-{
-    update_load_peers(now);
-    const auto current = load();
-    const double change = pressure_of(current, 0) - pressure_of(m_last_report, 0);
-    const bool is_changed = std::abs(change) >= report_threshold || current.accepts != m_last_report.accepts;
-    if (now < m_next_report || (!is_changed && now < m_next_idle_report)) {
-        return;
-    }
-    m_next_report = now + report_interval;
-    m_next_idle_report = now + idle_report_interval;
-    m_last_report = current;
-    for (const auto it : m_load_peers) {
-        out.push_back(send_message{it, current});
-    }
-}
-
-void agent_relay::update_load_peers(core::time_point now)
-{
-    if (m_load_peers_revision == m_view.revision()) {
-        return;
-    }
-    const auto own = m_view.find_service(m_options.service);
-    if (!own) {
-        return;
-    }
-    m_load_peers_revision = m_view.revision();
-    auto peers = load_peers(m_view.hosts_of(*own), m_options.self);
-    if (peers != m_load_peers) {
-        // New peers redirect no flows here before they have the load of this host.
-        m_next_report = now;
-        m_next_idle_report = now;
-        m_load_peers = std::move(peers);
-    }
-}
-
 void agent_relay::sweep(core::time_point now)
 {
     const auto idle = m_view.idle_timeout();
@@ -114,7 +75,7 @@
 {
     if (record.request_pending != request_pending) {
         record.request_pending = request_pending;
-        m_in_flight += request_pending ? 1 : -1;
+        m_load.count_requests(request_pending ? 1 : -1);
     }
     if (request_pending) {
         record.request_pending_since = now;
@@ -144,7 +105,7 @@
     if (phase != flow_phase::searching && phase != flow_phase::unconfirmed) {
         record.search_packet = {};
     }
-    m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
+    m_load.count_open_flows((is_open(record) ? 1 : 0) - (was_open ? 1 : 0));
 }
 
 void agent_relay::set_fin_seen(flow_record& record, bool client_fin, bool host_fin) noexcept
@@ -152,7 +113,7 @@
     const bool was_open = is_open(record);
     record.client_fin = client_fin;
     record.host_fin = host_fin;
-    m_open_flows += (is_open(record) ? 1 : 0) - (was_open ? 1 : 0);
+    m_load.count_open_flows((is_open(record) ? 1 : 0) - (was_open ? 1 : 0));
 }
 
 bool agent_relay::is_open(const flow_record& record) noexcept
@@ -160,14 +121,6 @@
     return record.phase == flow_phase::established && !record.client_fin && !record.host_fin;
 }
 
-host_load agent_relay::load() const noexcept { return {m_in_flight, m_open_flows, slots(), accepts()}; }
-
-std::uint32_t agent_relay::slots() const noexcept
-{
-    const auto* own = m_view.find_host(m_options.self);
-    return own != nullptr ? own->value.slots : 1;
-}
-
 bool agent_relay::accepts() const noexcept
 {
     const auto* own = m_view.find_host(m_options.self);
@@ -179,12 +132,7 @@
     if (!m_health.is_failing()) {
         return false;
     }
-    const auto is_closed = [this](ipv4 peer) {
-        const auto found = m_peer_loads.find(static_cast<std::uint32_t>(peer));
-        return found != m_peer_loads.end() && !found->second.load.accepts;
-    };
-    const auto avoided = std::count_if(m_load_peers.begin(), m_load_peers.end(), is_closed);
-    return may_avoid(static_cast<std::size_t>(avoided), m_load_peers.size() + 1);
+    return may_avoid(m_load.closed_peer_count(), m_load.peer_count() + 1);
 }
 
 void agent_relay::record_request_outcome(bool answered, std::string_view failure, const flow_key& flow,
@@ -198,51 +146,4 @@
     }
 }
 
-std::vector<peer_load> agent_relay::usable_peers(const known_route& route, const flow_key& flow, bool own_accepts,
-                                                 core::time_point now) const
-{
-    auto result = gather_peers(route, flow, false, now);
-    const bool any_accepts =
-        own_accepts || std::any_of(result.begin(), result.end(), [](const peer_load& it) { return it.load.accepts; });
-    return any_accepts ? result : gather_peers(route, flow, true, now);
-}
-
-std::vector<peer_load> agent_relay::gather_peers(const known_route& route, const flow_key& flow, bool all,
-                                                 core::time_point now) const
-{
-    const auto own = m_view.find_service(m_options.service);
-    std::vector<peer_load> result;
-    const auto add = [&](service_index service) {
-        for (const auto* it : m_view.hosts_of(service)) {
-            const auto address = it->value.address;
-            const bool exchanges_load =
-                all || service != own || std::binary_search(m_load_peers.begin(), m_load_peers.end(), address);
-            if (!it->accepts_new_flows() || address == m_options.self || !exchanges_load) {
-                continue;
-            }
-            peer_load entry{address, {0, 0, it->value.slots, true}, it->in_own_zone, 0, false};
-            // A peer that never reported may have just started, or serve another service of the route.
-            if (const auto found = m_peer_loads.find(static_cast<std::uint32_t>(address));
-                found != m_peer_loads.end()) {
-                entry.load = found->second.load;
-                entry.flows_redirected = found->second.flows_redirected;
-                entry.has_reported = now - found->second.at < peer_report_timeout;
-                entry.load.accepts = entry.load.accepts && entry.has_reported;
-            }
-            result.push_back(entry);
-        }
-    };
-    // The flow stays in the service that the route's weights choose as long as that service has a host.
-    const auto chosen = fleet_view::choose_service(route, hash_of(flow));
-    add(chosen);
-    if (result.empty()) {
-        for (const auto& choice : route.services) {
-            if (choice.weight > 0 && choice.service != chosen) {
-                add(choice.service);
-            }
-        }
-    }
-    return result;
-}
-
 } // namespace daisydoor::relay
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
-    : m_options(std::move(options)), m_view(view)
+    : m_options(std::move(options)), m_view(view), m_load(m_options.self, m_options.service, view)
 {
 }
 
@@ -120,11 +120,11 @@
         // The entry may have a newer version of the routes; it tries another agent if this one does not confirm.
         return;
     }
-    update_load_peers(now);
+    m_load.update_peers(now);
     const bool is_allowed = own && route->allows(*own);
     auto load = this->load();
     load.accepts = load.accepts && is_allowed;
-    const auto peers = usable_peers(*route, value.flow, load.accepts, now);
+    const auto peers = m_load.usable_peers(*route, value.flow, load.accepts, now);
     if (is_allowed && is_avoided() && !m_draining && !m_suspected && m_health.try_start_probe(now)) {
         open_at_host(value, bytes, now, out);
         return;
@@ -230,7 +230,7 @@
     record.peer = peer->agent;
     record.entry = entry;
     record.last_activity_at = now;
-    ++m_peer_loads[static_cast<std::uint32_t>(peer->agent)].flows_redirected;
+    m_load.on_redirected(peer->agent);
     const auto next_hops = static_cast<std::uint8_t>(hops + 1);
     out.push_back(send_to_agent{peer->agent, bytes, entry, next_hops, packet_path::direct});
     out.push_back(decision_record{decision::redirected, flow, peer->agent, next_hops, peer->load, reason});
@@ -246,7 +246,7 @@
     }
     host_load closed = load();
     closed.accepts = false;
-    const auto peers = usable_peers(*route, opening.flow, false, now);
+    const auto peers = m_load.usable_peers(*route, opening.flow, false, now);
     const auto* peer = choose_less_busy(closed, peers, hash_of(opening.flow));
     return redirect_flow(opening.flow, bytes, opening.entry, opening.hops, peer, reason, now, out);
 }
@@ -352,7 +352,7 @@
 void agent_relay::on_message(ipv4 from, const message& value, core::time_point now)
 {
     if (const auto* load = std::get_if<host_load>(&value)) {
-        m_peer_loads[static_cast<std::uint32_t>(from)] = {*load, now, 0};
+        m_load.on_report(from, *load, now);
     } else if (const auto* found = std::get_if<flow_found>(&value)) {
         auto& record = m_flows[found->flow];
         if (record.phase != flow_phase::established) {
@@ -383,7 +383,7 @@
     check_unclaimed_flows(now);
     repeat_searches(now, out);
     release_requests(now, out);
-    report(now, out);
+    m_load.report(load(), now, out);
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         sweep(now);
