Share a host's room between callers

Traced: such a request waits on an open flow in the agent beside an overloaded host (2 slots, 162 open flows), and every request that can still be on time goes before it, also those that come later, until its client leaves. Ruled out: lost packets, unanswered openings and hosts that shed work. Besides, in one rank the order was that of arrival, in which a caller takes the room in proportion to how hard it presses.

One release in eight may be the oldest request in the last quarter of its client's patience that can still be answered.

--- a/include/daisydoor/relay/admission_queue.hpp
+++ b/include/daisydoor/relay/admission_queue.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "daisydoor/core/time.hpp"
+#include "daisydoor/relay/caller_shares.hpp"
 #include "daisydoor/relay/packet.hpp"
 #include "daisydoor/relay/request_profile.hpp"
 #include "daisydoor/wire/datagram.hpp"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -28,6 +30,12 @@
 constexpr std::size_t max_waiting_requests = 400;
 /// Maximum number of waiting packets of one request; a client has at most 16 packets in flight.
 constexpr std::size_t max_waiting_packets = 16;
+/// Of this many requests that are released in a row, one may be a request at its last chance, whatever its rank.
+constexpr std::uint32_t last_chance_interval = 8;
+/// Part of its client's patience at which a request has its last chance.
+constexpr double last_chance_age = 0.75;
+/// Priorities that are reported one by one; the last one stands for all less urgent ones too.
+constexpr std::size_t reported_priorities = 8;
 
 /// @brief Attributes that decide the order of a request.
 struct request_urgency
@@ -48,8 +56,11 @@
 /// in order of arrival, so that requests that are late already also make new ones late, and the host sheds requests
 /// beyond its queue. This queue delivers at most max_requests_beyond_slots more requests than the host has slots.
 /// Requests that can still meet their target latency go first, the more urgent route before the others; late ones
-/// follow while there is room, and last those whose clients have probably given up. A request is dropped without
-/// delivery only when its client has ended the flow or has stopped retransmitting the request.
+/// follow while there is room, and last those whose clients have probably given up. Among requests of one rank, callers
+/// have fair shares (see caller_shares). One in last_chance_interval is the oldest request whose client's patience is
+/// nearly over and which can still be answered, so that neither a late request nor a less urgent route is left out
+/// until its client leaves. A request is dropped without delivery only when its client has ended the flow or has
+/// stopped retransmitting the request.
 class admission_queue
 {
   public:
@@ -92,6 +103,8 @@
 
     [[nodiscard]] bool is_waiting(const flow_key& flow) const { return m_waiting.count(flow) != 0; }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
+    /// @brief Waiting requests by the priority of their routes. Complexity: linear in waiting().
+    [[nodiscard]] std::array<std::size_t, reported_priorities> waiting_by_priority() const noexcept;
     [[nodiscard]] std::size_t in_service() const noexcept { return m_in_service.size(); }
     /// @brief Returns and clears the requests that release() has dropped.
     std::vector<dropped_request> take_dropped() { return std::exchange(m_dropped, {}); }
@@ -105,6 +118,8 @@
         core::time_point last_packet_at;
         std::uint32_t retransmissions = 0;
         std::uint64_t arrival_number = 0;
+        /// Start in virtual time by the shares of the callers.
+        double share_start = 0;
         std::vector<wire::buffer> packets;
         std::vector<std::uint32_t> sequences;
     };
@@ -122,10 +137,16 @@
     [[nodiscard]] bool is_on_time(const request_urgency& urgency, core::time_point now) const noexcept;
     [[nodiscard]] static bool client_has_left(const waiting_request& request, core::time_point now) noexcept;
     [[nodiscard]] bool precedes(const waiting_request& a, const waiting_request& b, core::time_point now) const;
+    /// @brief Whether the client will soon have left, but not before an answer if the request is delivered now.
+    [[nodiscard]] bool is_last_chance(const request_urgency& urgency, core::time_point now) const noexcept;
+    [[nodiscard]] waiting_map::iterator choose_next(core::time_point now);
 
     waiting_map m_waiting;
     std::deque<active_request> m_in_service;
     std::uint64_t m_next_number = 0;
+    caller_shares m_shares;
+    /// Requests released since the last one at its last chance.
+    std::uint32_t m_releases = 0;
     core::milliseconds m_service_time = initial_service_time;
     std::vector<dropped_request> m_dropped;
 };
--- a/src/relay/admission_queue.cpp
+++ b/src/relay/admission_queue.cpp
@@ -37,11 +37,16 @@
         m_in_service.push_back({flow, now});
         return true;
     }
+    if (m_waiting.empty()) {
+        m_shares.on_idle();
+        m_releases = 0;
+    }
     auto& entry = m_waiting[flow];
     entry.urgency = urgency;
     entry.arrived_at = now;
     entry.last_packet_at = now;
     entry.arrival_number = m_next_number++;
+    entry.share_start = m_shares.add(flow.client);
     entry.packets.emplace_back(bytes.data, bytes.data + bytes.size);
     entry.sequences.push_back(sequence);
     return false;
@@ -97,9 +102,8 @@
     expire_slow_requests(now);
     drop_expired(now);
     while (!m_waiting.empty() && m_in_service.size() < slots + max_requests_beyond_slots) {
-        const auto it = std::min_element(m_waiting.begin(), m_waiting.end(), [this, now](const auto& a, const auto& b) {
-            return precedes(a.second, b.second, now);
-        });
+        const auto it = choose_next(now);
+        m_shares.on_released(it->second.share_start);
         const auto waited = std::chrono::duration_cast<core::milliseconds>(now - it->second.arrived_at);
         result.push_back({it->first, std::move(it->second.packets), waited});
         m_in_service.push_back({it->first, now});
@@ -108,15 +112,48 @@
     return result;
 }
 
+admission_queue::waiting_map::iterator admission_queue::choose_next(core::time_point now)
+{
+    if (++m_releases >= last_chance_interval) {
+        const auto rank = [this, now](const auto& it) {
+            return std::make_pair(!is_last_chance(it.second.urgency, now), it.second.arrival_number);
+        };
+        const auto it = std::min_element(m_waiting.begin(), m_waiting.end(),
+                                         [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
+        if (is_last_chance(it->second.urgency, now)) {
+            m_releases = 0;
+            return it;
+        }
+    }
+    return std::min_element(m_waiting.begin(), m_waiting.end(),
+                            [this, now](const auto& a, const auto& b) { return precedes(a.second, b.second, now); });
+}
+
+bool admission_queue::is_last_chance(const request_urgency& urgency, core::time_point now) const noexcept
+{
+    const auto age = now - urgency.sent_at;
+    return urgency.patience.count() > 0 && age >= urgency.patience * last_chance_age &&
+           age + m_service_time < urgency.patience;
+}
+
 bool admission_queue::precedes(const waiting_request& a, const waiting_request& b, core::time_point now) const
 {
     const auto rank = [this, now](const waiting_request& it) {
         return std::make_tuple(patience_is_over(it.urgency, now), !is_on_time(it.urgency, now), it.urgency.priority,
-                               it.arrival_number);
+                               m_shares.excess(it.share_start), it.arrival_number);
     };
     return rank(a) < rank(b);
 }
 
+std::array<std::size_t, reported_priorities> admission_queue::waiting_by_priority() const noexcept
+{
+    std::array<std::size_t, reported_priorities> result{};
+    for (const auto& [flow, request] : m_waiting) {
+        ++result.at(std::min<std::size_t>(request.urgency.priority, reported_priorities - 1));
+    }
+    return result;
+}
+
 void admission_queue::expire_slow_requests(core::time_point now)
 {
     const auto timeout =
