Satisfy the linter in the changes of the view

A view change now owns names, so that a constant one cannot be moved out of its function, and the log line of a zone was built in a loop.

--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -66,7 +66,7 @@
 
 view_change view_sync::on_platform_state(const fleet_update& value, core::time_point at, core::time_point now)
 {
-    const auto result = m_view.apply(value, now);
+    auto result = m_view.apply(value, now);
     if (!result.is_from_former_era && !m_view.lacks_evacuations()) {
         on_confirmed(at);
     }
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -244,11 +244,12 @@
         write_log(log_event::hosts_changed, "changed=" + std::to_string(change.hosts) +
                                                 " hosts=" + std::to_string(m_view.hosts().size()) + origin);
     }
+    const auto details = [&origin](const std::string& zone) { return "zone=" + zone + origin; };
     for (const auto& zone : change.zones_evacuated) {
-        write_log(log_event::zone_evacuated, "zone=" + zone + origin);
+        write_log(log_event::zone_evacuated, details(zone));
     }
     for (const auto& zone : change.zones_returned) {
-        write_log(log_event::evacuation_ended, "zone=" + zone + origin);
+        write_log(log_event::evacuation_ended, details(zone));
     }
     if (change.changes_view()) {
         m_sync.on_change(now, m_actions);
