--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -91,6 +91,14 @@
             builder, revision, 0, 0,
             pack_routes(builder, routes->version, route_version{}, routes->idle_timeout, routes->routes, {}));
     }
+    if (const auto* evacuated = std::get_if<zone_evacuated>(&value.value)) {
+        return wire::Createfleet_change(builder, revision, 0, 0, 0, 0, 0,
+                                        builder.CreateString(evacuated->availability_zone));
+    }
+    if (const auto* ended = std::get_if<evacuation_ended>(&value.value)) {
+        return wire::Createfleet_change(builder, revision, 0, 0, 0, 0, 0, 0,
+                                        builder.CreateString(ended->availability_zone));
+    }
     const auto& delta = std::get<route_delta>(value.value);
     return wire::Createfleet_change(
         builder, revision, 0, 0,
@@ -117,7 +125,7 @@
     const auto packed_changes = builder.CreateVector(changes);
     const auto past = value.past.complete_for.count() > 0 ? pack(builder, value.past) : 0;
     return wire::Createfleet_update(builder, static_cast<std::uint64_t>(value.revision), value.whole, packed_changes,
-                                    static_cast<std::uint64_t>(value.era), value.exact, past);
+                                    static_cast<std::uint64_t>(value.era), value.exact, !value.lacks_evacuations, past);
 }
 
 host from_wire(const wire::fleet_host& value)
@@ -196,6 +204,7 @@
     result.whole = value.whole();
     result.era = store_era{value.era()};
     result.exact = value.exact();
+    result.lacks_evacuations = !value.evacuations();
     if (value.past() != nullptr) {
         result.past = from_wire(*value.past());
     }
@@ -210,6 +219,10 @@
             change.value.emplace<host_removed>(host_removed{it->removed_host()->str()});
         } else if (it->routes() != nullptr) {
             add_routes(*it->routes(), change);
+        } else if (it->evacuated_zone() != nullptr) {
+            change.value.emplace<zone_evacuated>(zone_evacuated{it->evacuated_zone()->str()});
+        } else if (it->evacuation_ended() != nullptr) {
+            change.value.emplace<evacuation_ended>(evacuation_ended{it->evacuation_ended()->str()});
         } else {
             continue;
         }
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -67,7 +67,7 @@
 view_change view_sync::on_platform_state(const fleet_update& value, core::time_point at, core::time_point now)
 {
     const auto result = m_view.apply(value, now);
-    if (!result.is_from_former_era) {
+    if (!result.is_from_former_era && !m_view.lacks_evacuations()) {
         on_confirmed(at);
     }
     return result;
@@ -116,17 +116,15 @@
         news.fetch = parts.empty();
         subscription.awaits_fetch = news.fetch;
     }
-    if (parts.empty()) {
+    const bool needs_past =
+        !subscription.awaits_fetch && m_view.history().helps(subscription.past, subscribe_interval, now);
+    if (parts.empty() || needs_past) {
         auto& part = parts.emplace_back();
         part.revision = m_view.revision();
         part.era = m_view.era();
+        part.lacks_evacuations = m_view.lacks_evacuations();
     }
-    if (!subscription.awaits_fetch && m_view.history().helps(subscription.past, subscribe_interval, now)) {
-        if (!parts.back().changes.empty()) {
-            auto& part = parts.emplace_back();
-            part.revision = m_view.revision();
-            part.era = m_view.era();
-        }
+    if (needs_past) {
         parts.back().past = past_of_one_datagram(now);
         subscription.past = core::milliseconds(0);
     }
@@ -190,11 +188,13 @@
         part.revision = group.revision;
         part.era = value.era;
         part.exact = value.exact;
+        part.lacks_evacuations = value.lacks_evacuations;
         std::move(group.changes.begin(), group.changes.end(), std::back_inserter(part.changes));
     }
     result.back().revision = value.revision;
     result.back().era = value.era;
     result.back().exact = value.exact;
+    result.back().lacks_evacuations = value.lacks_evacuations;
     return result.size() <= max_update_datagrams ? result : std::vector<fleet_update>();
 }
 
@@ -225,7 +225,7 @@
     } else if (is_behind && ((value.fetch && !must_fetch) || (!value.fetch && !is_applicable))) {
         m_next_subscribe = now;
     }
-    if (is_complete_for(value) && value.age < max_age) {
+    if (is_complete_for(value) && value.age < max_age && !m_view.lacks_evacuations()) {
         on_confirmed(now - value.age);
     }
     complete_confirmation(value);
@@ -299,7 +299,7 @@
     std::map<std::string, std::vector<reader_candidate>> zones;
     std::vector<reader_candidate> all;
     for (const auto& [id, host] : m_view.hosts()) {
-        if (host.accepts_new_flows()) {
+        if (host.is_staying()) {
             const reader_candidate value{core::rendezvous_distance(reader_key, host.rendezvous_key),
                                          host.value.address};
             zones[host.value.availability_zone].push_back(value);
