Confirm the view while a lost flow is searched

A lost flow was reset only after its search had ended and a question to a reader, asked then, had been answered; the reader took the question up at its next tick and called the platform at most once in 200 ms.

The holder of a flow was published before the search began. So the confirmation may run beside the search: it is asked for 15 ms after the begin, the reader calls at once and then each 50 ms, and one answer serves all searches that began before. The reset still needs the answers of all possible holders and a call of the platform that began after the search.

The test of a host that the view lacked expected a second confirmation after that host's answer. One that began after the search is enough, since a host that was published later can't hold the flow; the test now asks that the reset comes with this host's answer and not before.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -41,12 +41,6 @@
 constexpr core::milliseconds idle_report_interval{1000};
 /// A peer that has not reported for this long gets no new flows; allows for the loss of two idle reports.
 constexpr core::milliseconds peer_report_timeout{2500};
-/// Interval at which a search is repeated to peers that have not answered; a starting process is ready within about 100
-/// ms.
-constexpr core::milliseconds search_repeat_interval{100};
-/// Maximum repetitions of a search: they cover the longest pause between a client's retransmissions (1.6 s). Afterwards
-/// the client's next packet starts a new search.
-constexpr std::uint32_t search_repeat_limit = 16;
 /// Time for which a lost flow stays in the table, so that its next packets are reset at once.
 constexpr core::milliseconds lost_flow_time{5000};
 
@@ -83,18 +77,18 @@
     void on_view_ready(core::time_point now, actions& out);
 
     /// @brief Handles a control message of a peer.
-    void on_message(ipv4 from, const message& value, core::time_point now);
+    void on_message(ipv4 from, const message& value, core::time_point now, actions& out);
 
     /// @brief Reports load and handles expired timeouts; to be called periodically.
     void on_tick(core::time_point now, actions& out);
 
-    /// @brief Whether flows that no known peer has wait for a confirmation that the view has all hosts (see
+    /// @brief Whether a search goes on for so long that it needs a confirmation that the view has all hosts (see
     /// on_view_confirmed).
-    [[nodiscard]] bool needs_confirmation() const noexcept { return !m_unconfirmed.empty(); }
+    [[nodiscard]] bool needs_confirmation(core::time_point now);
 
-    /// @brief Handles a confirmation of the view by the platform: asks hosts that were added to the view since the
-    /// search, and resets the flow if there are none.
-    /// @param since when the confirming call to the platform began; flows that began to wait later keep waiting
+    /// @brief Handles a confirmation of the view by the platform: asks hosts that the view has gained since the search
+    /// began, and resets the flows that no host has.
+    /// @param since when the confirming call to the platform began; searches that began later need another
     void on_view_confirmed(core::time_point since, core::time_point now, actions& out);
 
     /// @brief Redirects new flows to peers from now on; open flows stay at the host.
@@ -165,6 +159,9 @@
         wire::buffer search_packet;
         std::uint32_t search_repeats = 0;
         core::time_point repeat_at;
+        core::time_point search_started_at;
+        /// The platform has confirmed the view after the search began.
+        bool view_confirmed = false;
     };
 
     /// A flow that the host has accepted and the client has not used yet.
@@ -208,9 +205,13 @@
     void on_search(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out);
     void on_unknown_flow(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void search(flow_record& record, const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
-    /// @brief Asks the possible owners that have not answered yet.
-    /// @return false if there is none
-    bool ask_possible_owners(flow_record& record, const flow_key& flow, core::time_point now, actions& out);
+    /// @brief Asks the possible owners that were not asked yet.
+    /// @param repeats whether those that have not answered are asked again
+    /// @return false if all have answered
+    bool ask_possible_owners(flow_record& record, const flow_key& flow, bool repeats, core::time_point now,
+                             actions& out);
+    void end_search(flow_record& record, const flow_key& flow, core::time_point now, actions& out);
+    [[nodiscard]] static bool is_searched(const flow_record& record) noexcept;
     void repeat_searches(core::time_point now, actions& out);
     bool redirect_opening(const opening_record& opening, wire::bytes_view bytes, std::string_view reason,
                           core::time_point now, actions& out);
@@ -218,8 +219,7 @@
     void on_returned_packet(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     void on_returned_opening(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out);
     [[nodiscard]] static bool acknowledges_other_host(const flow_record& record, const packet& value) noexcept;
-    void on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now);
-    void await_confirmation(flow_record& record, const flow_key& flow, core::time_point now);
+    void on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now, actions& out);
     void declare_lost(flow_record& record, const flow_key& flow, std::uint32_t sequence, std::string_view reason,
                       core::time_point now, actions& out);
     void send_flow_found(const flow_key& flow, ipv4 entry, actions& out);
@@ -275,8 +275,8 @@
     std::deque<unclaimed_flow> m_unclaimed;
     /// Searches to repeat, the next one first.
     std::deque<search_repeat> m_search_repeats;
-    /// Flows in phase unconfirmed.
-    std::vector<flow_key> m_unconfirmed;
+    /// Searches without a confirmation of the view, in the order of their beginning.
+    std::deque<flow_key> m_unconfirmed;
     /// Peers that exchange load with this agent, by address; chosen at m_load_peers_revision of the view.
     std::vector<ipv4> m_load_peers;
     revision m_load_peers_revision{};
--- a/include/daisydoor/relay/search_scope.hpp
+++ b/include/daisydoor/relay/search_scope.hpp
@@ -8,6 +8,15 @@
 namespace daisydoor::relay
 {
 
+/// Interval at which a search is repeated to peers that have not answered; a starting process is ready within about 100
+/// ms.
+constexpr core::milliseconds search_repeat_interval{100};
+/// Maximum repetitions of a search: they cover the longest pause between a client's retransmissions (1.6 s). Afterwards
+/// the client's next packet starts a new search.
+constexpr std::uint32_t search_repeat_limit = 16;
+/// Time after which a search asks for a confirmation of the view; most find their flow earlier, in a round trip to
+/// another availability zone.
+constexpr core::milliseconds confirmation_delay{15};
 /// Maximum number of peers outside the services of a flow's route that an agent asks in one interval, for all its
 /// searches together.
 constexpr std::size_t max_wide_questions = 500;
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -351,7 +351,7 @@
     }
 }
 
-void agent_relay::on_message(ipv4 from, const message& value, core::time_point now)
+void agent_relay::on_message(ipv4 from, const message& value, core::time_point now, actions& out)
 {
     if (const auto* load = std::get_if<host_load>(&value)) {
         m_peer_loads[static_cast<std::uint32_t>(from)] = {*load, now, 0};
@@ -364,7 +364,7 @@
             record.last_activity_at = now;
         }
     } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
-        on_flow_unknown(from, unknown->flow, now);
+        on_flow_unknown(from, unknown->flow, now, out);
     }
 }
 
--- a/src/relay/agent_search.cpp
+++ b/src/relay/agent_search.cpp
@@ -38,14 +38,19 @@
     record.reset_sequence = value.acknowledgement;
     record.search_packet.assign(bytes.data, bytes.data + bytes.size);
     record.search_repeats = 0;
+    record.repeat_at = now;
+    record.search_started_at = now;
+    record.view_confirmed = false;
     record.unanswered_peers.clear();
     record.asked_peers.clear();
-    if (!ask_possible_owners(record, value.flow, now, out)) {
-        await_confirmation(record, value.flow, now);
+    m_unconfirmed.push_back(value.flow);
+    if (!ask_possible_owners(record, value.flow, true, now, out)) {
+        end_search(record, value.flow, now, out);
     }
 }
 
-bool agent_relay::ask_possible_owners(flow_record& record, const flow_key& flow, core::time_point now, actions& out)
+bool agent_relay::ask_possible_owners(flow_record& record, const flow_key& flow, bool repeats, core::time_point now,
+                                      actions& out)
 {
     const auto round = m_search_scope.plan(flow, record.asked_peers, now);
     auto& unanswered_peers = record.unanswered_peers;
@@ -62,11 +67,13 @@
         return false;
     }
     const wire::bytes_view bytes{record.search_packet.data(), record.search_packet.size()};
-    for (const auto peer : unanswered_peers) {
+    for (const auto peer : repeats ? unanswered_peers : round.next) {
         out.push_back(send_to_agent{peer, bytes, record.entry, 1, packet_path::search});
     }
-    record.repeat_at = now + search_repeat_interval;
-    m_search_repeats.push_back({flow, record.repeat_at});
+    if (record.repeat_at <= now) {
+        record.repeat_at = now + search_repeat_interval;
+        m_search_repeats.push_back({flow, record.repeat_at});
+    }
     return true;
 }
 
@@ -81,13 +88,13 @@
         if (!is_current || ++it->second.search_repeats >= search_repeat_limit) {
             continue;
         }
-        if (!ask_possible_owners(it->second, next.flow, now, out)) {
-            await_confirmation(it->second, next.flow, now);
+        if (!ask_possible_owners(it->second, next.flow, true, now, out)) {
+            end_search(it->second, next.flow, now, out);
         }
     }
 }
 
-void agent_relay::on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now)
+void agent_relay::on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now, actions& out)
 {
     const auto it = m_flows.find(flow);
     if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
@@ -96,33 +103,53 @@
     auto& unanswered_peers = it->second.unanswered_peers;
     unanswered_peers.erase(std::remove(unanswered_peers.begin(), unanswered_peers.end(), from), unanswered_peers.end());
     if (unanswered_peers.empty() && it->second.all_peers_asked) {
-        await_confirmation(it->second, flow, now);
+        end_search(it->second, flow, now, out);
+    }
+}
+
+void agent_relay::end_search(flow_record& record, const flow_key& flow, core::time_point now, actions& out)
+{
+    if (record.view_confirmed) {
+        declare_lost(record, flow, record.reset_sequence, "held_nowhere", now, out);
+    } else {
+        set_phase(record, flow_phase::unconfirmed, now);
     }
 }
 
-void agent_relay::await_confirmation(flow_record& record, const flow_key& flow, core::time_point now)
+bool agent_relay::is_searched(const flow_record& record) noexcept
 {
-    set_phase(record, flow_phase::unconfirmed, now);
-    m_unconfirmed.push_back(flow);
+    return record.phase == flow_phase::searching || record.phase == flow_phase::unconfirmed;
+}
+
+bool agent_relay::needs_confirmation(core::time_point now)
+{
+    for (; !m_unconfirmed.empty(); m_unconfirmed.pop_front()) {
+        const auto it = m_flows.find(m_unconfirmed.front());
+        if (it != m_flows.end() && is_searched(it->second) && !it->second.view_confirmed) {
+            return now - it->second.search_started_at >= confirmation_delay;
+        }
+    }
+    return false;
 }
 
 void agent_relay::on_view_confirmed(core::time_point since, core::time_point now, actions& out)
 {
-    std::vector<flow_key> later;
+    std::deque<flow_key> later;
     for (const auto& flow : std::exchange(m_unconfirmed, {})) {
         const auto it = m_flows.find(flow);
-        if (it == m_flows.end() || it->second.phase != flow_phase::unconfirmed) {
+        if (it == m_flows.end() || !is_searched(it->second) || it->second.view_confirmed) {
             continue;
         }
         auto& record = it->second;
-        if (record.phase_started_at > since) {
+        if (record.search_started_at > since) {
             later.push_back(flow);
             continue;
         }
-        // Hosts that the view lacked at the time of the search are asked now.
+        // The host of the flow was published before the search began. Hosts that the view lacked are asked now.
+        record.view_confirmed = true;
         set_phase(record, flow_phase::searching, now);
-        if (!ask_possible_owners(record, flow, now, out)) {
-            declare_lost(record, flow, record.reset_sequence, "held_nowhere", now, out);
+        if (!ask_possible_owners(record, flow, false, now, out)) {
+            end_search(record, flow, now, out);
         }
     }
     m_unconfirmed = std::move(later);
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -30,7 +30,7 @@
 constexpr double log_burst_lines = 200;
 /// Minimum interval between checks of the platform for lost flows, so that flows lost together share one call. It
 /// delays the reset of their clients by at most this time.
-constexpr core::milliseconds platform_check_interval{200};
+constexpr core::milliseconds platform_check_interval{50};
 /// Path under which a process serves its whole fleet view to other relaying processes.
 constexpr const char* fleet_path = "/fleet";
 /// Covers the few round trips that a view with a few hundred routes takes.
@@ -169,7 +169,7 @@
     if (m_entry) {
         m_entry->on_message(from, *message, now, m_actions);
     } else {
-        m_agent->on_message(from, *message, now);
+        m_agent->on_message(from, *message, now, m_actions);
     }
     execute();
 }
@@ -222,10 +222,15 @@
 {
     if (const auto* subscribe = std::get_if<relay::fleet_subscribe>(&message)) {
         m_sync.on_subscribe(from, *subscribe, now, m_actions);
+        if (subscribe->question != 0) {
+            choose_read_mode(now);
+        }
     } else if (const auto* news = std::get_if<relay::fleet_news>(&message)) {
         handle_view_change(m_sync.on_news(from, *news, now, m_actions), to_string(from), now);
         if (const auto since = m_sync.take_confirmed_since(); since && m_agent) {
             m_agent->on_view_confirmed(*since, now, m_actions);
+            // Searches that began meanwhile need another confirmation.
+            choose_read_mode(now);
         }
     }
 }
@@ -296,7 +301,8 @@
 
 void relay_task::choose_read_mode(core::time_point now)
 {
-    const bool must_confirm = m_agent && m_agent->needs_confirmation() && m_sync.request_confirmation(now, m_actions);
+    const bool must_confirm =
+        m_agent && m_agent->needs_confirmation(now) && m_sync.request_confirmation(now, m_actions);
     const bool needs_check = (must_confirm || m_sync.has_pending_questions()) && now >= m_next_platform_check_at;
     const auto mode = m_sync.is_reader() || !m_view.is_ready() ? relay::read_mode::watch
                       : m_sync.should_read(now) || needs_check ? relay::read_mode::check
--- a/tests/support/relay_fleet.cpp
+++ b/tests/support/relay_fleet.cpp
@@ -342,7 +342,7 @@
         if (receiver->entry) {
             receiver->entry->on_message(from, action.value, m_clock.now(), m_actions);
         } else {
-            receiver->agent->on_message(from, action.value, m_clock.now());
+            receiver->agent->on_message(from, action.value, m_clock.now(), m_actions);
         }
         execute(*receiver);
     });
--- a/tests/unit/agent_relay_fixture.hpp
+++ b/tests/unit/agent_relay_fixture.hpp
@@ -48,7 +48,7 @@
     void on_message(ipv4 from, const message& value)
     {
         m_actions.clear();
-        m_agent->on_message(from, value, m_now);
+        m_agent->on_message(from, value, m_now, m_actions);
     }
 
     void tick(core::milliseconds time)
--- a/tests/unit/unit-relay-search.cpp
+++ b/tests/unit/unit-relay-search.cpp
@@ -73,10 +73,11 @@
 {
     search_without_owner();
     EXPECT_TRUE(emitted<reset_client>().empty());
-    EXPECT_TRUE(m_agent->needs_confirmation());
+    advance(confirmation_delay);
+    EXPECT_TRUE(m_agent->needs_confirmation(m_now));
     confirm_view();
     EXPECT_EQ(emitted<reset_client>().size(), 1U);
-    EXPECT_FALSE(m_agent->needs_confirmation());
+    EXPECT_FALSE(m_agent->needs_confirmation(m_now));
 }
 
 // Guards against a reset of an open flow by an agent that does not know the flow's host yet: it had started a moment
@@ -91,10 +92,46 @@
     ASSERT_EQ(sent.size(), 1U) << "the others have answered";
     EXPECT_EQ(sent[0].agent, agent_address(4));
     on_message(agent_address(4), flow_unknown{make_flow()});
+    EXPECT_EQ(emitted<reset_client>().size(), 1U) << "its host was published before the search began";
+}
+
+// Guards against clients that wait for a confirmation which begins only when the last host has answered.
+TEST_F(agent_search_test, confirmation_during_search_resets_client_with_last_answer)
+{
+    on_packet(make_packet(make_flow()));
+    on_message(agent_address(2), flow_unknown{make_flow()});
+    advance(confirmation_delay);
+    EXPECT_TRUE(m_agent->needs_confirmation(m_now));
     confirm_view();
+    EXPECT_TRUE(emitted<reset_client>().empty());
+    EXPECT_TRUE(emitted<send_to_agent>().empty()) << "the view has gained no host";
+    on_message(agent_address(3), flow_unknown{make_flow()});
     EXPECT_EQ(emitted<reset_client>().size(), 1U);
 }
 
+// Guards against calls of the platform for flows that are found at once.
+TEST_F(agent_search_test, search_that_finds_flow_needs_no_confirmation)
+{
+    on_packet(make_packet(make_flow()));
+    EXPECT_FALSE(m_agent->needs_confirmation(m_now));
+    on_message(agent_address(3), flow_found{make_flow(), {}});
+    advance(confirmation_delay);
+    EXPECT_FALSE(m_agent->needs_confirmation(m_now));
+}
+
+// Guards against a call of the platform for each lost flow.
+TEST_F(agent_search_test, one_confirmation_serves_all_searches_that_began_before)
+{
+    constexpr std::uint16_t flows = 100;
+    for (std::uint16_t i = 0; i < flows; ++i) {
+        on_packet(make_packet(make_flow(i)));
+        on_message(agent_address(2), flow_unknown{make_flow(i)});
+        on_message(agent_address(3), flow_unknown{make_flow(i)});
+    }
+    confirm_view();
+    EXPECT_EQ(emitted<reset_client>().size(), flows);
+}
+
 // Guards against clients that wait for their own retransmission, up to 1.6 s, because one peer was still starting when
 // all others had answered that they do not have the flow.
 TEST_F(agent_search_test, search_is_repeated_to_silent_peers)
@@ -119,7 +156,7 @@
     on_message(agent_address(2), flow_unknown{make_flow()});
     remove_host(m_view, "i-3");
     tick(search_repeat_interval);
-    EXPECT_TRUE(m_agent->needs_confirmation());
+    EXPECT_TRUE(m_agent->needs_confirmation(m_now));
     confirm_view();
     EXPECT_EQ(emitted<reset_client>().size(), 1U);
 }
@@ -196,6 +233,13 @@
     tick(search_repeat_interval);
     // The rest of the first flow, then as many for the second.
     EXPECT_EQ(emitted<send_to_agent>().size(), 2U + max_wide_questions);
+    std::size_t resets = 0;
+    for (std::uint32_t n = 2; n < 10 + others; ++n) {
+        EXPECT_EQ(resets, 0U);
+        on_message(agent_address(n), flow_unknown{make_flow()});
+        resets += emitted<reset_client>().size();
+    }
+    EXPECT_EQ(resets, 1U) << "with the answer of the last host";
 }
 
 } // namespace
