--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -72,6 +72,11 @@
                                    {"evacuated", entry.zone_evacuated},
                                    {"disputed", entry.disputed_until.has_value()}});
     }
+    for (const auto& [zone, entry] : m_view.evacuated_zones()) {
+        result["evacuated_zones"].push_back({{"zone", zone},
+                                             {"revision", static_cast<std::uint64_t>(entry.revision)},
+                                             {"age_ms", milliseconds_since(entry.since)}});
+    }
     const auto past = m_view.history().describe(core::clock::now());
     result["routes_past_ms"] = past.complete_for.count();
     for (const auto& it : past.former) {
@@ -79,11 +84,6 @@
                                              {"service", it.service},
                                              {"age_ms", it.age.count()}});
     }
-    for (const auto& [zone, entry] : m_view.evacuated_zones()) {
-        result["evacuated_zones"].push_back({{"zone", zone},
-                                             {"revision", static_cast<std::uint64_t>(entry.revision)},
-                                             {"age_ms", milliseconds_since(entry.since)}});
-    }
     if (m_agent) {
         const auto load = m_agent->load();
         result["load"] = {{"in_flight", load.in_flight},
