--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -116,18 +116,15 @@
         news.fetch = parts.empty();
         subscription.awaits_fetch = news.fetch;
     }
-    if (parts.empty()) {
+    const bool needs_past =
+        !subscription.awaits_fetch && m_view.history().helps(subscription.past, subscribe_interval, now);
+    if (parts.empty() || needs_past) {
         auto& part = parts.emplace_back();
         part.revision = m_view.revision();
         part.era = m_view.era();
         part.lacks_evacuations = m_view.lacks_evacuations();
     }
-    if (!subscription.awaits_fetch && m_view.history().helps(subscription.past, subscribe_interval, now)) {
-        if (!parts.back().changes.empty()) {
-            auto& part = parts.emplace_back();
-            part.revision = m_view.revision();
-            part.era = m_view.era();
-        }
+    if (needs_past) {
         parts.back().past = past_of_one_datagram(now);
         subscription.past = core::milliseconds(0);
     }
