Place flows by the work that hosts still have to do

The pressure of a host was its requests over its slots, so that it knew neither the host's speed nor what a request costs, and 0.05 of a slot for each open flow, which stands for one customer's request of 40 ms a second. With some 160 mostly idle flows a host that term outweighed all else: a host that had just started was sent flows by hosts with fewer requests.

Change: host_work learns from the packets of the host the mean work of each route, the distribution around it and what an idle flow brings, with the wait for a slot left out. Reports carry work left, mean work and the work of open flows; pressure, redirects, deferral and refusal use them. Hosts that report none (earlier builds, fewer than eight answers) are compared by their requests. Metrics work_left_ms, mean_work_ms and slots_per_idle_flow, and load and route_work in /dump show them.

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -21,6 +21,12 @@
     std::uint32_t slots = 1;
     /// Whether new flows may be placed on the host.
     bool accepts = true;
+    /// Expected work left of the requests in progress, in microseconds.
+    std::uint32_t work_us = 0;
+    /// Mean work of a request, in microseconds; 0 if the work isn't known.
+    std::uint32_t mean_work_us = 0;
+    /// Slots that the further requests of open flows keep busy in the mean, in thousandths.
+    std::uint32_t flow_work = 0;
 };
 
 /// @brief Reports that the flow is open at the sender's host.
--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -91,6 +91,7 @@
 
     [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
     [[nodiscard]] host_load load() const noexcept { return m_load.own_load(accepts()); }
+    [[nodiscard]] const host_work& work() const noexcept { return m_load.work(); }
 
   private:
     enum class flow_phase : std::uint8_t
@@ -118,6 +119,8 @@
         bool request_pending = false;
         /// The request was delivered and occupies a place in the admission queue.
         bool in_service = false;
+        /// The flow has had a request before the current one.
+        bool is_further_request = false;
         /// The client ended the flow while its request waited.
         bool client_gave_up = false;
         /// The request waited for longer than its client was expected to, and was dropped.
--- a/include/daisydoor/relay/load_exchange.hpp
+++ b/include/daisydoor/relay/load_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "daisydoor/relay/actions.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
+#include "daisydoor/relay/host_work.hpp"
 #include "daisydoor/relay/placement.hpp"
 
 #include <cstddef>
@@ -28,7 +29,7 @@
 /// Load pattern: services with many hosts whose load changes within milliseconds. Reports go to few peers, at once when
 /// the pressure has changed and seldom when it has not, and flows redirected to a peer count until its next report.
 ///
-/// Knows requests and open flows by their number only. Uses no sockets, clock or random numbers.
+/// Knows requests by their flow and open flows by their number only. Uses no sockets, clock or random numbers.
 class load_exchange
 {
   public:
@@ -36,8 +37,15 @@
     /// @param service service of the host
     load_exchange(ipv4 self, std::string service, const fleet_view& view);
 
-    /// @brief Counts requests in progress at the host or about to be delivered to it.
-    void count_requests(int change) noexcept { m_in_flight += change; }
+    /// @brief Counts a request that is in progress at the host or about to be delivered to it.
+    void add_request(const flow_key& flow, core::time_point now);
+    /// @brief Records the delivery of a counted request to the host.
+    /// @param is_further whether the flow has had a request before
+    void on_delivered(const flow_key& flow, bool is_further, core::time_point now);
+    /// @brief Records the first byte of the answer to a counted request.
+    void on_answered(const flow_key& flow, core::time_point now) { m_work.on_answered(flow, now); }
+    /// @brief Ends a counted request.
+    void end_request(const flow_key& flow, core::time_point now);
     /// @brief Counts flows that are open at the host.
     void count_open_flows(int change) noexcept { m_open_flows += change; }
 
@@ -45,6 +53,8 @@
     /// @param accepts whether new flows may be placed on it
     [[nodiscard]] host_load own_load(bool accepts) const noexcept;
     [[nodiscard]] std::uint32_t slots() const noexcept;
+    /// @brief What the packets of the own host say about the work of its requests.
+    [[nodiscard]] const host_work& work() const noexcept { return m_work; }
 
     /// @brief Records a peer's report.
     void on_report(ipv4 from, const host_load& load, core::time_point now);
@@ -79,11 +89,14 @@
     /// @param all whether peers of this agent's service that do not exchange load with this agent are included
     [[nodiscard]] std::vector<peer_load> gather_peers(const known_route& route, const flow_key& flow, bool all,
                                                       core::time_point now) const;
+    /// @brief Sets the time for which the own load is computed.
+    void advance(core::time_point now) noexcept;
     [[nodiscard]] peer_load last_report_of(const known_host& host, core::time_point now) const;
 
     ipv4 m_self{};
     std::string m_service;
     const fleet_view& m_view;
+    host_work m_work;
     std::uint32_t m_in_flight = 0;
     std::uint32_t m_open_flows = 0;
     /// Peers that exchange load with this agent, by address; chosen at m_peers_revision of the view.
--- a/include/daisydoor/relay/placement.hpp
+++ b/include/daisydoor/relay/placement.hpp
@@ -53,10 +53,26 @@
 /// @return addresses in ascending order; all addresses of `hosts` if `self` is not one of them
 std::vector<ipv4> load_peers(const std::vector<const known_host*>& hosts, ipv4 self);
 
-/// @brief Pressure of a host, a measure of how much it delays a new request; about 1 when all its slots are busy and
-/// few flows are open.
+/// @brief What the work of hosts is measured in, the same for all that are compared.
+struct work_scale
+{
+    /// Mean work of a request of the service, in microseconds; 0 if unknown.
+    double mean_us = 0;
+    /// Slots that an open flow of a host keeps busy which doesn't say so itself.
+    double slots_per_flow = 0;
+};
+
+/// @brief Scale for comparing a host with its peers: the median of the mean works that they report.
+[[nodiscard]] work_scale work_scale_of(const host_load& own, const std::vector<peer_load>& peers);
+
+/// @brief Pressure of a host, a measure of how much it delays a new request; about 1 when all its slots have a request
+/// of mean work left and few flows are open.
+///
+/// Load pattern: requests that look alike and cost very different amounts of work, at hosts of different speeds, next
+/// to flows that stay open for minutes with few requests. What counts is the work that a host still has to do and what
+/// its open flows will bring, both as it reports them. Hosts that report no work are compared by their requests.
 /// @param flows_redirected flows redirected to the host since its report
-double pressure_of(const host_load& load, std::uint32_t flows_redirected) noexcept;
+double pressure_of(const host_load& load, std::uint32_t flows_redirected, const work_scale& scale) noexcept;
 
 /// Expected wait at or above which a new flow is deferred to the client's next copy of its opening packet while load
 /// reports of peers are missing: half of the time until that copy.
@@ -66,7 +82,8 @@
 /// @param copies number of copies that the client sent before
 core::milliseconds age_of_copy(std::uint32_t copies) noexcept;
 
-/// @brief Time for which a new request would wait in front of a host.
+/// @brief Time for which a new request would wait in front of a host: until its work left is done or, if that isn't
+/// known, by its requests.
 /// @param service_time mean time from the delivery of a request to its answer at the host
 core::milliseconds expected_wait(const host_load& own, core::milliseconds service_time) noexcept;
 
@@ -99,7 +116,6 @@
 /// the same reports at the same time: each flow chooses among all such peers by its hash, in proportion to how much
 /// less busy they are.
 /// @return the peer, or nullptr to keep the flow
-const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers,
-                                  std::uint64_t flow_hash) noexcept;
+const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers, std::uint64_t flow_hash);
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/request_profile.hpp
+++ b/include/daisydoor/relay/request_profile.hpp
@@ -30,6 +30,11 @@
 class request_profile
 {
   public:
+    /// Width of the port in the key of a route.
+    static constexpr unsigned port_bits = 16;
+    /// @brief Identifies the route of a flow by its address, shifted by the width of the port, and its port.
+    static std::uint64_t key_of(const flow_key& flow) noexcept;
+
     /// @brief Records an answer.
     /// @param time from the delivery of the request to its answer
     void on_answer(core::milliseconds time) noexcept;
@@ -55,9 +60,6 @@
         core::time_point period_started_at;
     };
 
-    /// @brief Identifies the route of a flow.
-    static std::uint64_t key_of(const flow_key& flow) noexcept;
-
     std::unordered_map<std::uint64_t, route_profile> m_routes;
     /// Moving average; the first answers weigh more, so that a process that has just started learns quickly.
     double m_service_ms = initial_service_time.count();
--- a/src/relay/agent_flows.cpp
+++ b/src/relay/agent_flows.cpp
@@ -75,7 +75,7 @@
 {
     if (record.request_pending != request_pending) {
         record.request_pending = request_pending;
-        m_load.count_requests(request_pending ? 1 : -1);
+        request_pending ? m_load.add_request(flow, now) : m_load.end_request(flow, now);
     }
     if (request_pending) {
         record.request_pending_since = now;
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -293,6 +293,7 @@
             record_request_outcome(has_answer, value.rst ? "host_resets" : "host_closes", value.flow, now, out);
         }
         if (record.in_service && value.payload_size > 0) {
+            m_load.on_answered(value.flow, now);
             m_profile.on_answer(std::chrono::duration_cast<core::milliseconds>(now - record.delivered_at));
             m_admission.set_service_time(m_profile.service_time());
         }
--- a/src/relay/agent_requests.cpp
+++ b/src/relay/agent_requests.cpp
@@ -74,7 +74,10 @@
     }
     record.in_service = m_admission.on_request(value.flow, urgency, value.sequence, bytes, slots(), now);
     record.delivered_at = now;
-    if (!record.in_service) {
+    record.is_further_request = !is_first;
+    if (record.in_service) {
+        m_load.on_delivered(value.flow, record.is_further_request, now);
+    } else {
         out.push_back(decision_record{decision::request_waits, value.flow, {}, 0, load(), "slots_busy"});
     }
     return record.in_service;
@@ -90,6 +93,7 @@
         }
         it->second.in_service = true;
         it->second.delivered_at = now;
+        m_load.on_delivered(request.flow, it->second.is_further_request, now);
         for (auto& bytes : request.packets) {
             out.push_back(send_to_host{{}, it->second.entry, std::move(bytes)});
         }
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -24,12 +24,14 @@
 
 host_load from_wire(const wire::host_load& value) noexcept
 {
-    return {value.in_flight(), value.open_flows(), value.slots(), value.accepts()};
+    return {value.in_flight(), value.open_flows(),   value.slots(),    value.accepts(),
+            value.work_us(),   value.mean_work_us(), value.flow_work()};
 }
 
 flatbuffers::Offset<wire::host_load> pack(flatbuffers::FlatBufferBuilder& builder, const host_load& value)
 {
-    return wire::Createhost_load(builder, value.in_flight, value.open_flows, value.slots, value.accepts);
+    return wire::Createhost_load(builder, value.in_flight, value.open_flows, value.slots, value.accepts, value.work_us,
+                                 value.mean_work_us, value.flow_work);
 }
 
 std::uint32_t to_wire(core::milliseconds value) noexcept { return static_cast<std::uint32_t>(value.count()); }
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -12,7 +12,40 @@
 {
 }
 
-host_load load_exchange::own_load(bool accepts) const noexcept { return {m_in_flight, m_open_flows, slots(), accepts}; }
+host_load load_exchange::own_load(bool accepts) const noexcept
+{
+    constexpr double us_per_ms = 1000;
+    constexpr double thousandths = 1000;
+    host_load result{m_in_flight, m_open_flows, slots(), accepts};
+    result.mean_work_us = static_cast<std::uint32_t>(m_work.mean_ms() * us_per_ms);
+    if (result.mean_work_us > 0) {
+        result.work_us = static_cast<std::uint32_t>(m_work.work_left_ms() * us_per_ms);
+        result.flow_work = static_cast<std::uint32_t>(m_work.slots_per_idle_flow() * m_open_flows * thousandths);
+    }
+    return result;
+}
+
+void load_exchange::add_request(const flow_key& flow, core::time_point now)
+{
+    ++m_in_flight;
+    m_work.on_expected(flow, now);
+}
+
+void load_exchange::on_delivered(const flow_key& flow, bool is_further, core::time_point now)
+{
+    m_work.on_delivered(flow, is_further, slots(), now);
+}
+
+void load_exchange::end_request(const flow_key& flow, core::time_point now)
+{
+    --m_in_flight;
+    m_work.on_ended(flow, slots(), now);
+}
+
+void load_exchange::advance(core::time_point now) noexcept
+{
+    m_work.set_idle_flows(m_open_flows > m_in_flight ? m_open_flows - m_in_flight : 0, now);
+}
 
 std::uint32_t load_exchange::slots() const noexcept
 {
@@ -28,7 +61,8 @@
 void load_exchange::report(const host_load& current, core::time_point now, actions& out)
 {
     update_peers(now);
-    const double change = pressure_of(current, 0) - pressure_of(m_last_report, 0);
+    const auto scale = work_scale_of(current, {});
+    const double change = pressure_of(current, 0, scale) - pressure_of(m_last_report, 0, scale);
     const bool is_changed = std::abs(change) >= report_threshold || current.accepts != m_last_report.accepts;
     if (now < m_next_report || (!is_changed && now < m_next_idle_report)) {
         return;
@@ -43,6 +77,7 @@
 
 void load_exchange::update_peers(core::time_point now)
 {
+    advance(now);
     if (m_peers_revision == m_view.revision()) {
         return;
     }
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-/// Part of a slot that an open flow is expected to keep busy: a request of 40 ms about each second.
-constexpr double pressure_per_open_flow = 0.05;
 /// Minimum difference in pressure for a redirect within an availability zone. Open flows aside, a host with five slots
 /// and an idle peer exceeds it from the third busy slot on ((2/5)^2 = 0.16, (3/5)^2 = 0.36). Reports are up to 100 ms
 /// old, so that smaller differences mean little.
@@ -140,13 +138,44 @@
     return result;
 }
 
-double pressure_of(const host_load& load, std::uint32_t flows_redirected) noexcept
+work_scale work_scale_of(const host_load& own, const std::vector<peer_load>& peers)
 {
+    constexpr double thousandths = 1000;
+    std::vector<std::uint32_t> means;
+    const auto add = [&means](const host_load& it) {
+        if (it.mean_work_us > 0) {
+            means.push_back(it.mean_work_us);
+        }
+    };
+    add(own);
+    for (const auto& it : peers) {
+        add(it.load);
+    }
+    work_scale result;
+    if (!means.empty()) {
+        const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+        std::nth_element(means.begin(), middle, means.end());
+        result.mean_us = *middle;
+    }
+    if (own.mean_work_us > 0 && own.open_flows > 0) {
+        result.slots_per_flow = own.flow_work / (thousandths * own.open_flows);
+    }
+    return result;
+}
+
+double pressure_of(const host_load& load, std::uint32_t flows_redirected, const work_scale& scale) noexcept
+{
+    constexpr double thousandths = 1000;
     const double slots = std::max(load.slots, 1U);
-    const double busy = (load.in_flight + flows_redirected) / slots;
+    const bool is_known = load.mean_work_us > 0 && scale.mean_us > 0;
+    const double requests =
+        is_known ? (load.work_us + static_cast<double>(flows_redirected) * load.mean_work_us) / scale.mean_us
+                 : load.in_flight + flows_redirected;
+    const double flow_slots = is_known ? load.flow_work / thousandths : scale.slots_per_flow * load.open_flows;
+    const double busy = requests / slots;
     // Requests hardly wait before the last free slots are in use, so the pressure rises late.
     const double wait = busy < 1 ? busy * busy : 1 + queue_slope * (busy - 1);
-    return wait + pressure_per_open_flow * load.open_flows / slots;
+    return wait + flow_slots / slots;
 }
 
 core::milliseconds age_of_copy(std::uint32_t copies) noexcept
@@ -158,6 +187,10 @@
 
 core::milliseconds expected_wait(const host_load& own, core::milliseconds service_time) noexcept
 {
+    if (own.mean_work_us > 0) {
+        constexpr std::int64_t us_per_ms = 1000;
+        return core::milliseconds(own.work_us / (std::max(own.slots, 1U) * us_per_ms));
+    }
     // The service time includes the wait at the host, which gets max_requests_beyond_slots more requests than it has
     // slots.
     return service_time * own.in_flight / (own.slots + max_requests_beyond_slots);
@@ -179,15 +212,16 @@
     return patience.count() > 0 && wait >= service_time && wait >= patience - age_of_copy(copies);
 }
 
-const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers,
-                                  std::uint64_t flow_hash) noexcept
+const peer_load* choose_less_busy(const host_load& own, const std::vector<peer_load>& peers, std::uint64_t flow_hash)
 {
     const peer_load* result = nullptr;
     double best = std::numeric_limits<double>::max();
     // A host that accepts no flows redirects them whatever the pressure of the peers, to the least busy ones.
-    double limit = own.accepts ? pressure_of(own, 0) : 0;
-    const auto cost = [](const peer_load& it) {
-        return pressure_of(it.load, it.flows_redirected) + (it.in_own_zone ? margin_in_zone : margin_across_zones);
+    const auto scale = work_scale_of(own, peers);
+    double limit = own.accepts ? pressure_of(own, 0, scale) : 0;
+    const auto cost = [&scale](const peer_load& it) {
+        return pressure_of(it.load, it.flows_redirected, scale) +
+               (it.in_own_zone ? margin_in_zone : margin_across_zones);
     };
     if (!own.accepts) {
         double least = std::numeric_limits<double>::max();
--- a/src/relay/request_profile.cpp
+++ b/src/relay/request_profile.cpp
@@ -7,7 +7,6 @@
 
 std::uint64_t request_profile::key_of(const flow_key& flow) noexcept
 {
-    constexpr unsigned port_bits = 16;
     return (static_cast<std::uint64_t>(flow.service) << port_bits) | flow.service_port;
 }
 
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -37,6 +37,12 @@
         message.samples.push_back(
             {"evacuation_age_ms", zone, static_cast<double>(milliseconds_since(entry.since)), false});
     }
+    if (m_agent) {
+        const auto& work = m_agent->work();
+        message.samples.push_back({"work_left_ms", "", work.work_left_ms(), false});
+        message.samples.push_back({"mean_work_ms", "", work.mean_ms(), false});
+        message.samples.push_back({"slots_per_idle_flow", "", work.slots_per_idle_flow(), false});
+    }
     for (std::size_t i = 0; i < m_decisions.size(); ++i) {
         message.samples.push_back(
             {"decisions", std::string(relay::decision_names.at(i)), static_cast<double>(m_decisions.at(i))});
@@ -80,7 +86,15 @@
         result["load"] = {{"in_flight", load.in_flight},
                           {"open_flows", load.open_flows},
                           {"slots", load.slots},
-                          {"accepts", load.accepts}};
+                          {"accepts", load.accepts},
+                          {"work_left_ms", m_agent->work().work_left_ms()},
+                          {"mean_work_ms", m_agent->work().mean_ms()},
+                          {"slots_per_idle_flow", m_agent->work().slots_per_idle_flow()}};
+        for (const auto& it : m_agent->work().routes()) {
+            result["route_work"].push_back({{"address", ip_of(relay::endpoint_of(it.service, 0))},
+                                            {"port", it.port},
+                                            {"mean_work_ms", it.mean_ms}});
+        }
     }
     return result.dump(2) + '\n';
 }
