Learn the loss of a zone from several silent agents

An entry whose own zone is evacuated spreads its flows over the other zones. When one of these is lost, each lost agent cost two flows of each entry 60 to 80 ms, and agents that turned busy redirected flows to their peers there for 2.5 s. For that, the entry counted the agent that had redirected the flow as silent.

Three different agents of a zone that are silent to placements of 300 ms, with no answer of the zone since, now make the entry avoid the whole zone (zone_suspicion). One flow each 100 ms probes it; with the first answer its share of the flows grows over 500 ms. The last zone with usable hosts is never avoided. An entry tells the agent of a placement that was not confirmed; an agent that had redirected the flow sends its peer no more before the peer's next report.

Ruled out: waiting for the store (seconds), messages between entries (nothing lists them), and counting a share of a zone's agents (slower than the rule for agents where an entry has few flows).

--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -140,11 +140,13 @@
     request_waits,
     request_released,
     request_dropped,
+    zone_suspected,
+    zone_answers,
 };
-constexpr std::array<std::string_view, 15> decision_names{
-    "placed",       "placed_again",    "redirected",    "refused",          "opened",
-    "unanswered",   "search_started",  "flow_lost",     "route_unknown",    "host_suspected",
-    "host_answers", "agent_suspected", "request_waits", "request_released", "request_dropped"};
+constexpr std::array<std::string_view, 17> decision_names{
+    "placed",         "placed_again",     "redirected",      "refused",        "opened",       "unanswered",
+    "search_started", "flow_lost",        "route_unknown",   "host_suspected", "host_answers", "agent_suspected",
+    "request_waits",  "request_released", "request_dropped", "zone_suspected", "zone_answers"};
 
 /// @brief Log record of one decision with its inputs.
 struct decision_record
--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -291,8 +291,6 @@
     core::time_point m_next_sweep;
     host_load m_last_report;
     early_openings m_early{agent_opening_age};
-    /// Storage for the early opening packets that the last call handled.
-    std::deque<early_openings::opening> m_handled_early;
     /// Storage for the opening packets that the last call sent again.
     std::deque<std::array<std::uint8_t, opening_packet_size>> m_resent_openings;
 };
--- a/include/daisydoor/relay/early_openings.hpp
+++ b/include/daisydoor/relay/early_openings.hpp
@@ -37,12 +37,14 @@
     /// @brief Keeps a packet if it is an opening packet and there is room.
     void add(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now);
 
-    /// @brief Removes and returns the packets that are not too old, in the order of arrival.
-    std::deque<opening> take(core::time_point now);
+    /// @brief Removes and returns the packets that are not too old, in the order of arrival. They stay valid until the
+    /// next call.
+    const std::deque<opening>& take(core::time_point now);
 
   private:
     core::milliseconds m_max_age;
     std::deque<opening> m_openings;
+    std::deque<opening> m_taken;
 };
 
 } // namespace daisydoor::relay
--- a/include/daisydoor/relay/entry_relay.hpp
+++ b/include/daisydoor/relay/entry_relay.hpp
@@ -3,6 +3,7 @@
 #include "daisydoor/relay/actions.hpp"
 #include "daisydoor/relay/early_openings.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
+#include "daisydoor/relay/zone_suspicion.hpp"
 
 #include <array>
 #include <deque>
@@ -46,6 +47,8 @@
     void on_tick(core::time_point now, actions& out);
 
     [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
+    /// @brief Zones that new flows avoid since several of their agents were silent together.
+    [[nodiscard]] std::vector<std::string> suspected_zones() const { return m_zones.suspected_zones(); }
 
   private:
     struct flow_record
@@ -78,12 +81,17 @@
     void forward_unknown(const packet& value, wire::bytes_view bytes, const known_route& route, core::time_point now,
                          actions& out);
     void forward(flow_record& record, wire::bytes_view bytes, core::time_point now, actions& out);
+    /// @brief Chooses the agent of a placement; one flow at a time probes a suspected zone.
+    [[nodiscard]] const known_host* choose(const pending_placement& placement, const known_route& route,
+                                           core::time_point now);
+    void record_answer(ipv4 agent, const flow_key& flow, core::time_point now, actions& out);
     void confirm(ipv4 agent, const flow_key& flow, core::time_point now);
     /// @brief Ends a placement that an agent declined.
-    void end_placement(ipv4 agent, const flow_key& flow);
+    void end_placement(const flow_key& flow);
     void remove_pending(const flow_key& flow);
-    void record_unconfirmed_placement(ipv4 agent, const flow_key& flow, core::time_point now, actions& out);
-    [[nodiscard]] bool is_avoided(ipv4 agent, core::time_point now) const;
+    void record_unconfirmed_placement(const pending_placement& placement, core::time_point now, actions& out);
+    void record_silent_zone(const pending_placement& placement, actions& out);
+    [[nodiscard]] bool is_avoided(ipv4 agent, std::uint64_t flow_hash, core::time_point now) const;
     void remove_idle_flows(core::time_point now);
 
     ipv4 m_self;
@@ -91,10 +99,9 @@
     std::unordered_map<flow_key, flow_record, flow_key_hash> m_flows;
     std::deque<pending_placement> m_pending;
     std::unordered_map<std::uint32_t, agent_record> m_agents;
+    zone_suspicion m_zones;
     core::time_point m_next_sweep;
     early_openings m_early{entry_opening_age};
-    /// Storage for the early opening packets that the last call handled.
-    std::deque<early_openings::opening> m_handled_early;
     /// Storage for the opening packets that the last call sent again.
     std::deque<std::array<std::uint8_t, opening_packet_size>> m_resent_openings;
 };
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -32,8 +32,7 @@
 void agent_relay::on_view_ready(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early = m_early.take(now);
-    for (const auto& it : m_handled_early) {
+    for (const auto& it : m_early.take(now)) {
         handle_packet(it.value, {it.bytes.data(), it.bytes.size()}, it.from, now, out);
     }
 }
@@ -363,6 +362,10 @@
         }
     } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
         const auto it = m_flows.find(unknown->flow);
+        if (it != m_flows.end() && it->second.phase == flow_phase::at_peer) {
+            // The peer gets no flows before its next report.
+            m_peer_loads[static_cast<std::uint32_t>(it->second.peer)].load.accepts = false;
+        }
         if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
             return;
         }
@@ -378,7 +381,6 @@
 void agent_relay::on_tick(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early.clear();
     check_openings(now, out);
     check_unclaimed_flows(now);
     repeat_searches(now, out);
--- a/src/relay/early_openings.cpp
+++ b/src/relay/early_openings.cpp
@@ -21,13 +21,13 @@
     added.arrived_at = now;
 }
 
-std::deque<early_openings::opening> early_openings::take(core::time_point now)
+const std::deque<early_openings::opening>& early_openings::take(core::time_point now)
 {
-    auto result = std::exchange(m_openings, {});
-    while (!result.empty() && now - result.front().arrived_at > m_max_age) {
-        result.pop_front();
+    m_taken = std::exchange(m_openings, {});
+    while (!m_taken.empty() && now - m_taken.front().arrived_at > m_max_age) {
+        m_taken.pop_front();
     }
-    return result;
+    return m_taken;
 }
 
 } // namespace daisydoor::relay
--- a/src/relay/entry_relay.cpp
+++ b/src/relay/entry_relay.cpp
@@ -30,8 +30,7 @@
 void entry_relay::on_view_ready(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early = m_early.take(now);
-    for (const auto& it : m_handled_early) {
+    for (const auto& it : m_early.take(now)) {
         handle_packet(it.value, {it.bytes.data(), it.bytes.size()}, now, out);
     }
 }
@@ -92,13 +91,29 @@
     place(std::move(placement), route, now, out);
 }
 
-void entry_relay::place(pending_placement placement, const known_route& route, core::time_point now, actions& out)
+const known_host* entry_relay::choose(const pending_placement& placement, const known_route& route,
+                                      core::time_point now)
 {
+    const auto hash = hash_of(placement.flow);
+    const auto avoided = [this, hash, now](ipv4 agent) { return is_avoided(agent, hash, now); };
+    if (const auto zone = placement.tried.empty() ? m_zones.try_start_probe(now) : std::nullopt) {
+        const auto is_elsewhere = [this, &zone](ipv4 agent) {
+            const auto* host = m_view.find_host(agent);
+            return host == nullptr || host->value.availability_zone != *zone;
+        };
+        if (const auto* probed = choose_host(m_view, route, hash, is_elsewhere, avoided)) {
+            return probed;
+        }
+    }
     const auto is_tried = [&placement](ipv4 agent) {
         return std::find(placement.tried.begin(), placement.tried.end(), agent) != placement.tried.end();
     };
-    const auto* chosen = choose_host(m_view, route, hash_of(placement.flow), is_tried,
-                                     [this, now](ipv4 agent) { return is_avoided(agent, now); });
+    return choose_host(m_view, route, hash, is_tried, avoided);
+}
+
+void entry_relay::place(pending_placement placement, const known_route& route, core::time_point now, actions& out)
+{
+    const auto* chosen = choose(placement, route, now);
     if (chosen == nullptr) {
         m_flows.erase(placement.flow);
         if (!placement.tried.empty()) {
@@ -130,33 +145,43 @@
 void entry_relay::forward_unknown(const packet& value, wire::bytes_view bytes, const known_route& route,
                                   core::time_point now, actions& out)
 {
-    const auto* likely_owner = choose_likely_owner(m_view, route, hash_of(value.flow),
-                                                   [this, now](ipv4 agent) { return is_avoided(agent, now); });
+    const auto hash = hash_of(value.flow);
+    const auto* likely_owner = choose_likely_owner(
+        m_view, route, hash, [this, hash, now](ipv4 agent) { return is_avoided(agent, hash, now); });
     if (likely_owner == nullptr) {
         return;
     }
     out.push_back(send_to_agent{likely_owner->value.address, bytes, m_self, 0, packet_path::direct});
 }
 
-void entry_relay::on_message(ipv4 from, const message& value, core::time_point now, actions& /*out*/)
+void entry_relay::on_message(ipv4 from, const message& value, core::time_point now, actions& out)
 {
     if (const auto* found = std::get_if<flow_found>(&value)) {
+        record_answer(from, found->flow, now, out);
         confirm(from, found->flow, now);
     } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
-        end_placement(from, unknown->flow);
+        record_answer(from, unknown->flow, now, out);
+        end_placement(unknown->flow);
+    }
+}
+
+void entry_relay::record_answer(ipv4 agent, const flow_key& flow, core::time_point now, actions& out)
+{
+    m_agents.erase(static_cast<std::uint32_t>(agent));
+    const auto* host = m_view.find_host(agent);
+    if (host != nullptr && m_zones.on_answer(host->value.availability_zone, now)) {
+        out.push_back(decision_record{decision::zone_answers, flow, agent, 0, {}, "agent_answers"});
     }
 }
 
 void entry_relay::confirm(ipv4 agent, const flow_key& flow, core::time_point now)
 {
     m_flows.insert_or_assign(flow, flow_record{agent, now, true});
-    m_agents.erase(static_cast<std::uint32_t>(agent));
     remove_pending(flow);
 }
 
-void entry_relay::end_placement(ipv4 agent, const flow_key& flow)
+void entry_relay::end_placement(const flow_key& flow)
 {
-    m_agents.erase(static_cast<std::uint32_t>(agent));
     if (const auto it = m_flows.find(flow); it != m_flows.end() && !it->second.confirmed) {
         m_flows.erase(it);
         remove_pending(flow);
@@ -175,11 +200,11 @@
 void entry_relay::on_tick(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early.clear();
+    m_zones.on_tick(now);
     while (!m_pending.empty() && m_pending.front().deadline <= now) {
         auto placement = std::move(m_pending.front());
         m_pending.pop_front();
-        record_unconfirmed_placement(placement.tried.back(), placement.flow, now, out);
+        record_unconfirmed_placement(placement, now, out);
         if (const auto* route = m_view.find_route(placement.flow.service, placement.flow.service_port)) {
             place(std::move(placement), *route, now, out);
         }
@@ -190,20 +215,46 @@
     }
 }
 
-void entry_relay::record_unconfirmed_placement(ipv4 agent, const flow_key& flow, core::time_point now, actions& out)
+void entry_relay::record_unconfirmed_placement(const pending_placement& placement, core::time_point now, actions& out)
 {
+    const auto agent = placement.tried.back();
     auto& record = m_agents[static_cast<std::uint32_t>(agent)];
     if (++record.unconfirmed_placements >= max_unconfirmed_placements && now >= record.avoid_until) {
         record.avoid_until = now + record.avoid_time;
         record.avoid_time = std::min(record.avoid_time * 2, max_agent_avoid_time);
-        out.push_back(decision_record{decision::agent_suspected, flow, agent, 0, {}, "placements_unconfirmed"});
+        out.push_back(
+            decision_record{decision::agent_suspected, placement.flow, agent, 0, {}, "placements_unconfirmed"});
     }
+    // An agent that redirected the flow learns that its peer is silent.
+    out.push_back(send_message{agent, flow_unknown{placement.flow}});
+    record_silent_zone(placement, out);
 }
 
-bool entry_relay::is_avoided(ipv4 agent, core::time_point now) const
+void entry_relay::record_silent_zone(const pending_placement& placement, actions& out)
+{
+    const auto agent = placement.tried.back();
+    const auto* host = m_view.find_host(agent);
+    const auto* route = m_view.find_route(placement.flow.service, placement.flow.service_port);
+    if (host == nullptr || route == nullptr) {
+        return;
+    }
+    const auto& zone = host->value.availability_zone;
+    if (m_zones.on_silence(zone, agent, placement.deadline - placement_timeout, extent_of(m_view, *route, zone))) {
+        out.push_back(decision_record{decision::zone_suspected, placement.flow, agent, 0, {}, "agents_silent"});
+    }
+}
+
+bool entry_relay::is_avoided(ipv4 agent, std::uint64_t flow_hash, core::time_point now) const
 {
     const auto it = m_agents.find(static_cast<std::uint32_t>(agent));
-    return it != m_agents.end() && now < it->second.avoid_until;
+    if (it != m_agents.end() && now < it->second.avoid_until) {
+        return true;
+    }
+    if (m_zones.is_idle()) {
+        return false;
+    }
+    const auto* host = m_view.find_host(agent);
+    return host != nullptr && m_zones.is_avoided(host->value.availability_zone, flow_hash, now);
 }
 
 void entry_relay::remove_idle_flows(core::time_point now)
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -19,6 +19,7 @@
         {"updates_ignored", "", static_cast<double>(m_older_updates)},
         {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
+        {"zones_suspected", "", static_cast<double>(m_entry ? m_entry->suspected_zones().size() : 0), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
         {"view_age_ms", "", static_cast<double>(m_sync.age(core::clock::now()).count()), false},
         {"route_version", "", static_cast<double>(static_cast<std::uint64_t>(m_view.version())), false}};
@@ -54,6 +55,9 @@
                                    {"lapsing", entry.grace_ends_at.has_value()},
                                    {"disputed", entry.disputed_until.has_value()}});
     }
+    if (m_entry) {
+        result["suspected_zones"] = m_entry->suspected_zones();
+    }
     if (m_agent) {
         const auto load = m_agent->load();
         result["load"] = {{"in_flight", load.in_flight},
--- a/tests/support/relay_fleet.cpp
+++ b/tests/support/relay_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace daisydoor::support
 {
@@ -105,6 +106,7 @@
     published.address = added.address;
     published.slots = m_options.host.slots;
     published.born = first_birth + number;
+    published.state = added.zone == m_options.evacuated_zone ? relay::host_state::draining : relay::host_state::ready;
     m_state.changes.push_back({m_state.revision, published});
 }
 
@@ -166,6 +168,22 @@
     restart_all(down, spread);
 }
 
+void relay_fleet::lose_zone(std::uint32_t zone, core::milliseconds down)
+{
+    for (const auto& it : m_processes) {
+        if (it->zone != zone) {
+            continue;
+        }
+        stop(*it);
+        m_clock.after(down, [this, value = it.get()] {
+            if (value->host) {
+                value->host->restart();
+            }
+            start(*value, false);
+        });
+    }
+}
+
 void relay_fleet::kill_processes(core::milliseconds down, core::milliseconds spread) { restart_all(down, spread); }
 
 void relay_fleet::kill_entries(double share, core::milliseconds down)
@@ -234,19 +252,30 @@
 
 relay_fleet::process* relay_fleet::route_to_entry(std::uint32_t zone, const relay::flow_key& flow)
 {
-    std::vector<process*> all;
-    std::vector<process*> rotating;
-    for (const auto& it : m_processes) {
-        if (it->host || it->zone != zone) {
-            continue;
+    // The routers use the nearest zone while none of a zone's entries is in rotation.
+    for (std::uint32_t i = 0; i < m_options.zones; ++i) {
+        const auto all = entries_of((zone + i) % m_options.zones);
+        std::vector<process*> rotating;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(rotating),
+                     [](const process* it) { return it->in_rotation; });
+        if (!rotating.empty()) {
+            const auto& candidates = rotating.size() * 2 < all.size() ? all : rotating;
+            return candidates[relay::hash_of(flow) % candidates.size()];
         }
-        all.push_back(it.get());
-        if (it->in_rotation) {
-            rotating.push_back(it.get());
+    }
+    const auto all = entries_of(zone);
+    return all[relay::hash_of(flow) % all.size()];
+}
+
+std::vector<relay_fleet::process*> relay_fleet::entries_of(std::uint32_t zone) const
+{
+    std::vector<process*> result;
+    for (const auto& it : m_processes) {
+        if (!it->host && it->zone == zone) {
+            result.push_back(it.get());
         }
     }
-    const auto& candidates = rotating.size() * 2 < all.size() ? all : rotating;
-    return candidates[relay::hash_of(flow) % candidates.size()];
+    return result;
 }
 
 core::duration relay_fleet::delay(relay::ipv4 from, relay::ipv4 to) const
--- a/tests/support/relay_fleet.hpp
+++ b/tests/support/relay_fleet.hpp
@@ -6,6 +6,7 @@
 #include "support/virtual_clock.hpp"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,8 @@
     core::duration delay_in_zone = std::chrono::microseconds(100);
     core::duration delay_across_zones = std::chrono::microseconds(4500);
     core::duration delay_to_client = std::chrono::milliseconds(3);
+    /// Zone whose hosts take no new flows.
+    std::optional<std::uint32_t> evacuated_zone;
     /// Time after its start until a process has the fleet view.
     core::duration view_delay = std::chrono::milliseconds(40);
     std::uint64_t seed = 1;
@@ -61,6 +64,8 @@
     /// @brief Cuts the power of all machines with their hosts' flows. Processes start again within `spread` after
     /// `down`, each at its own time.
     void lose_power(core::milliseconds down, core::milliseconds spread);
+    /// @brief Cuts the power of a zone's machines for `down`.
+    void lose_zone(std::uint32_t zone, core::milliseconds down);
     /// @brief Kills all processes; the hosts keep running with their flows.
     void kill_processes(core::milliseconds down, core::milliseconds spread);
     /// @brief Kills a share of the entries for `down`.
@@ -115,6 +120,7 @@
     void perform(process& value, const relay::decision_record& action);
     static void perform(process&, const relay::fetch_view&) {}
     process* route_to_entry(std::uint32_t zone, const relay::flow_key& flow);
+    [[nodiscard]] std::vector<process*> entries_of(std::uint32_t zone) const;
     [[nodiscard]] core::duration delay(relay::ipv4 from, relay::ipv4 to) const;
     process* find(relay::ipv4 address);
 
--- a/tests/unit/unit-relay-fleet.cpp
+++ b/tests/unit/unit-relay-fleet.cpp
@@ -106,6 +106,31 @@
     expect_service_from(fleet, before_outage + core::milliseconds(1000));
 }
 
+// Guards against a lost zone whose agents the entries of an evacuated zone find one by one: each lost agent delays two
+// flows of each entry, and a flow can meet several of them.
+TEST_P(relay_fleet_test, loss_of_zone_with_another_evacuated_is_learned_at_once)
+{
+    auto options = short_requests(GetParam());
+    options.hosts = 45;
+    options.host.slots = 1;
+    options.evacuated_zone = 0;
+    relay_fleet fleet(options);
+    fleet.run(before_outage);
+    const auto before = fleet.decisions(relay::decision::placed_again);
+    fleet.lose_zone(1, core::milliseconds(3000));
+    fleet.run(core::milliseconds(2500));
+    // Two entries place half of 62 flows a second each in the lost zone until three of its agents were silent for 60
+    // ms, and one flow each 100 ms afterwards; the two entries of the third zone place none there. Each of its 15
+    // agents redirects one flow to each peer of the lost zone, a third of its 8 neighbours on the ring of all and
+    // chance.
+    constexpr std::size_t by_entries = std::size_t{2} * (12 + 25);
+    constexpr std::size_t by_agents = std::size_t{15} * 4;
+    EXPECT_LE(fleet.decisions(relay::decision::placed_again) - before, by_entries + by_agents);
+    fleet.run(after_outage);
+    fleet.finish();
+    expect_service_from(fleet, before_outage + core::milliseconds(1100));
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, relay_fleet_test, ::testing::Range<std::uint64_t>(1, 6));
 
 } // namespace
--- a/tests/unit/unit-relay-restart.cpp
+++ b/tests/unit/unit-relay-restart.cpp
@@ -54,5 +54,32 @@
     EXPECT_FALSE(opened);
 }
 
+// Guards against flows that are redirected for seconds to a peer which lost its power after a good report.
+TEST_F(agent_relay_test, peer_that_did_not_confirm_gets_no_flows_before_its_next_report)
+{
+    for (std::uint32_t n = 2; n <= 3; ++n) {
+        on_message(agent_address(n), host_load{0, 0, 5, true});
+    }
+    m_agent->start_drain();
+    std::uint16_t port = 40000;
+    const auto redirected_to = [&] {
+        on_packet(make_syn(make_flow(++port)));
+        const auto sent = emitted<send_to_agent>();
+        return sent.empty() ? ipv4{} : sent[0].agent;
+    };
+    const auto silent = redirected_to();
+    ASSERT_NE(silent, ipv4{});
+    on_message(entry_address, flow_unknown{make_flow(port)});
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_NE(redirected_to(), silent);
+    }
+    on_message(silent, host_load{0, 0, 5, true});
+    std::size_t n = 0;
+    for (int i = 0; i < 20; ++i) {
+        n += redirected_to() == silent ? 1 : 0;
+    }
+    EXPECT_GT(n, 0U);
+}
+
 } // namespace
 } // namespace daisydoor::relay
