--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -150,17 +150,51 @@
     std::string id;
 };
 
+/// @brief The operator asks that nothing new be sent to the hosts of an availability zone.
+struct zone_evacuated
+{
+    std::string availability_zone;
+};
+
+/// @brief The operator has taken the evacuation of an availability zone back.
+struct evacuation_ended
+{
+    std::string availability_zone;
+};
+
 /// @brief One change of the published state.
 struct fleet_change
 {
     relay::revision revision{};
-    std::variant<host, host_removed, route_set, route_delta> value;
+    std::variant<host, host_removed, route_set, route_delta, zone_evacuated, evacuation_ended> value;
     /// Time for which a host is still used although its entry is missing at the platform; 0 if it is not missing.
     core::milliseconds grace{0};
     /// Time for which a host is not used yet because only an older copy of the platform's store names it; else 0.
     core::milliseconds disputed{0};
 };
 
+/// @brief A service that a route no longer names; flows that were opened before may still be open at its hosts.
+struct former_service
+{
+    ipv4 address{};
+    std::uint16_t port = 0;
+    std::string service;
+    /// Time since the route lost the service.
+    core::milliseconds age{0};
+};
+
+/// @brief What a process knows about the former services of all routes.
+struct routes_past
+{
+    /// Version of the routes up to which it reaches.
+    route_version version{};
+    /// Time for which no loss of a service is missing; 0 if nothing is known.
+    core::milliseconds complete_for{0};
+    std::vector<former_service> former;
+    /// Whether the sender knows more, which its whole view has.
+    bool is_partial = false;
+};
+
 /// @brief Part of the published state, as read from the platform or received from a peer.
 struct fleet_update
 {
@@ -176,6 +210,10 @@
     /// The changes come from a whole read: they lack what came and went since the position before, and apply only to
     /// that very position.
     bool exact = false;
+    /// The sender, of an earlier build, leaves evacuations out of the changes.
+    bool lacks_evacuations = false;
+    /// Former services that the sender knows.
+    routes_past past = {};
 
     [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "daisydoor/relay/evacuations.hpp"
 #include "daisydoor/relay/fleet.hpp"
+#include "daisydoor/relay/route_history.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -9,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace daisydoor::relay
@@ -34,12 +37,12 @@
     /// Set while only an older copy of the store names the host, which had left: it is not used until then, unless it
     /// is written again.
     std::optional<core::time_point> disputed_until;
+    bool zone_evacuated = false;
 
+    /// @brief Whether the host is there and is not leaving, whether or not it gets new flows.
+    [[nodiscard]] bool is_staying() const noexcept { return value.state == host_state::ready && !disputed_until; }
     /// @brief Whether new flows may be placed on the host.
-    [[nodiscard]] bool accepts_new_flows() const noexcept
-    {
-        return value.state == host_state::ready && !disputed_until;
-    }
+    [[nodiscard]] bool accepts_new_flows() const noexcept { return is_staying() && !zone_evacuated; }
 };
 
 /// @brief A route with its services resolved.
@@ -55,7 +58,8 @@
     relay::route value;
     std::vector<choice> services;
     std::uint64_t total_weight = 0;
-    /// Services that earlier versions of the route named; flows opened then may still be open there.
+    /// Services that the route has lost in the lifetime of a flow, as far as they are known; flows opened before may
+    /// still be open there.
     std::vector<service_index> former_services;
 
     /// @brief Whether the route sends new flows to a service.
@@ -78,6 +82,9 @@
 {
     bool routes = false;
     std::size_t hosts = 0;
+    /// Availability zones whose evacuation came into force or ended.
+    std::vector<std::string> zones_evacuated;
+    std::vector<std::string> zones_returned;
     /// The update has a difference to a version of the routes that the view does not have: the whole state must be
     /// fetched.
     bool needs_whole = false;
@@ -88,8 +95,9 @@
     /// The view moved on to another era of the store.
     bool is_new_era = false;
 
+    [[nodiscard]] bool evacuations() const noexcept { return !zones_evacuated.empty() || !zones_returned.empty(); }
     /// @brief Whether subscribers must be told.
-    [[nodiscard]] bool changes_view() const noexcept { return routes || hosts > 0 || is_new_era; }
+    [[nodiscard]] bool changes_view() const noexcept { return routes || hosts > 0 || is_new_era || evacuations(); }
 };
 
 /// @brief A process's view of the routes and hosts. Versions of routes and positions in the store's history only
@@ -103,7 +111,8 @@
 class fleet_view
 {
   public:
-    explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat);
+    explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat,
+                        route_history history = route_history());
 
     /// @brief Applies an update; values older than the view's are ignored. A whole set of routes is older if its
     /// version is, wherever in the store's history the update belongs.
@@ -115,8 +124,8 @@
         m_regained_at = m_regained_at ? std::max(*m_regained_at, at) : at;
     }
 
-    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago. Complexity:
-    /// linear in both.
+    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago, and former
+    /// services. Complexity: linear in these.
     /// @return the number of hosts removed
     std::size_t expire(core::time_point now);
 
@@ -138,6 +147,11 @@
     {
         return m_idle_timeout.count() > 0 ? m_idle_timeout : default_idle_timeout;
     }
+    /// @brief Whether the present and former services of a route are all at which its flows may be open.
+    [[nodiscard]] bool knows_former_services(core::time_point now) const { return m_history.is_complete(now); }
+    [[nodiscard]] const route_history& history() const noexcept { return m_history; }
+    /// @brief Takes over what a peer knows about former services.
+    void learn_past(const routes_past& value, core::time_point now);
     [[nodiscard]] std::size_t route_count() const noexcept { return m_routes.size(); }
 
     /// @return nullptr if no route has this address. Complexity: constant; no allocation.
@@ -156,6 +170,17 @@
     /// @brief All known hosts, by id.
     [[nodiscard]] const std::map<std::string, known_host>& hosts() const noexcept { return m_hosts; }
 
+    /// @brief Evacuated availability zones, by name.
+    [[nodiscard]] const std::map<std::string, evacuations::evacuation>& evacuated_zones() const noexcept
+    {
+        return m_evacuations.zones();
+    }
+    /// @brief Whether an agent's host is in an evacuated availability zone; for a host that is not in the view, whether
+    /// this process is.
+    [[nodiscard]] bool is_evacuated(ipv4 agent) const;
+    /// @brief Whether the view may lack evacuations, since a process of an earlier build sent the latest update.
+    [[nodiscard]] bool lacks_evacuations() const noexcept { return m_lacks_evacuations; }
+
     /// @brief Chooses the service of a flow by the weights of its route; every process makes the same choice.
     [[nodiscard]] static service_index choose_service(const known_route& route, std::uint64_t flow_hash) noexcept;
 
@@ -204,12 +229,21 @@
     std::vector<fleet_change> apply_changes(const fleet_update& update, bool is_newer_whole, core::time_point now,
                                             view_change& result);
     /// @brief Applies one change. @return what it changed
-    view_change apply_change(const fleet_change& change, core::time_point now, bool is_new_era);
+    /// @param is_gapless whether the change follows the one before
+    view_change apply_change(const fleet_change& change, bool is_gapless, core::time_point now, bool is_new_era);
     /// @brief Ids of the known hosts that are missing in a whole update and no newer than it.
     [[nodiscard]] std::vector<std::string> hosts_not_named(const fleet_update& whole) const;
-    bool apply_newer_routes(const fleet_update& update);
-    bool apply_routes(const route_set& value, relay::revision at);
-    bool apply_delta(const route_delta& value, relay::revision at);
+    /// @brief Removes what a whole update does not name.
+    /// @return the changes as subscribers need them
+    std::vector<fleet_change> apply_omissions(const fleet_update& whole, core::time_point now, view_change& result);
+    /// @brief Starts the log anew if it lacks evacuations that a whole update has brought.
+    void note_evacuations(const fleet_update& update, bool is_newer_whole);
+    void mark_evacuated_hosts();
+    bool apply_newer_routes(const fleet_update& update, core::time_point now);
+    bool apply_routes(const route_set& value, relay::revision at, bool is_gapless, core::time_point now);
+    bool apply_delta(const route_delta& value, relay::revision at, bool is_gapless, core::time_point now);
+    void record_lost_services(const known_route& before, const known_route* after, core::time_point now);
+    void refresh_former_services();
     [[nodiscard]] std::vector<route> sorted_routes() const;
     void append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to, route_version routes_before,
                        const std::vector<route>& before);
@@ -228,9 +262,12 @@
     std::optional<core::time_point> m_regained_at;
     std::unordered_map<std::string, service_index> m_service_indices;
     std::unordered_map<route_key, known_route> m_routes;
-    std::unordered_map<route_key, std::vector<service_index>> m_dropped_routes;
+    std::unordered_set<route_key> m_dropped_routes;
+    route_history m_history;
     std::map<std::string, known_host> m_hosts;
     std::unordered_map<std::string, removed_host> m_removed_hosts;
+    evacuations m_evacuations;
+    bool m_lacks_evacuations = false;
     /// Whether a host may be disputed; spares a pass over all hosts on every tick.
     bool m_has_disputes = false;
     std::vector<std::vector<const known_host*>> m_by_service;
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
-    : m_options(std::move(options)), m_view(view)
+    : m_options(std::move(options)), m_view(view), m_search_scope(view, m_options.self),
+      m_load(m_options.self, m_options.service, view)
 {
 }
 
@@ -119,11 +120,11 @@
         // The entry may have a newer version of the routes; it tries another agent if this one does not confirm.
         return;
     }
-    update_load_peers(now);
-    const bool is_allowed = own && route->allows(*own);
+    m_load.update_peers(now);
+    const bool is_allowed = own && route->allows(*own) && !m_view.is_evacuated(m_options.self);
     auto load = this->load();
     load.accepts = load.accepts && is_allowed;
-    const auto peers = usable_peers(*route, value.flow, load.accepts, now);
+    const auto peers = m_load.usable_peers(*route, value.flow, load.accepts, now);
     if (is_allowed && is_avoided() && !m_draining && !m_suspected && m_health.try_start_probe(now)) {
         open_at_host(value, bytes, now, out);
         return;
@@ -190,8 +191,11 @@
         }
         return;
     }
-    out.push_back(send_to_host{bytes, value.entry});
-    if (record.phase == flow_phase::established) {
+    const bool is_accepted = record.phase == flow_phase::established;
+    if ((is_accepted && record.opening_sequence) || !m_view.is_evacuated(m_options.self)) {
+        out.push_back(send_to_host{bytes, value.entry});
+    }
+    if (is_accepted) {
         send_flow_found(value.flow, value.entry, out);
     }
 }
@@ -229,7 +233,7 @@
     record.peer = peer->agent;
     record.entry = entry;
     record.last_activity_at = now;
-    ++m_peer_loads[static_cast<std::uint32_t>(peer->agent)].flows_redirected;
+    m_load.on_redirected(peer->agent);
     const auto next_hops = static_cast<std::uint8_t>(hops + 1);
     out.push_back(send_to_agent{peer->agent, bytes, entry, next_hops, packet_path::direct});
     out.push_back(decision_record{decision::redirected, flow, peer->agent, next_hops, peer->load, reason});
@@ -245,7 +249,7 @@
     }
     host_load closed = load();
     closed.accepts = false;
-    const auto peers = usable_peers(*route, opening.flow, false, now);
+    const auto peers = m_load.usable_peers(*route, opening.flow, false, now);
     const auto* peer = choose_less_busy(closed, peers, hash_of(opening.flow));
     return redirect_flow(opening.flow, bytes, opening.entry, opening.hops, peer, reason, now, out);
 }
@@ -336,14 +340,13 @@
     }
     const auto opening = *it;
     m_openings.erase(it);
-    if (const auto record = m_flows.find(value.flow);
-        record == m_flows.end() || record->second.phase != flow_phase::opening) {
+    const auto record = m_flows.find(value.flow);
+    if (record == m_flows.end() || record->second.phase != flow_phase::opening) {
         // A late copy: the host has accepted the flow before.
         return;
     }
     if (!redirect_opening(opening, bytes, "host_returned", now, out)) {
-        set_request_pending(value.flow, m_flows[value.flow], false, now);
-        m_flows.erase(value.flow);
+        forget_flow(record, now);
         refuse(value.flow, opening.entry, opening.hops, "host_returned", out);
     }
 }
@@ -351,7 +354,7 @@
 void agent_relay::on_message(ipv4 from, const message& value, core::time_point now)
 {
     if (const auto* load = std::get_if<host_load>(&value)) {
-        m_peer_loads[static_cast<std::uint32_t>(from)] = {*load, now, 0};
+        m_load.on_report(from, *load, now);
     } else if (const auto* found = std::get_if<flow_found>(&value)) {
         auto& record = m_flows[found->flow];
         if (record.phase != flow_phase::established) {
@@ -361,20 +364,7 @@
             record.last_activity_at = now;
         }
     } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
-        const auto it = m_flows.find(unknown->flow);
-        if (it != m_flows.end() && it->second.phase == flow_phase::at_peer) {
-            // The peer gets no flows before its next report.
-            m_peer_loads[static_cast<std::uint32_t>(it->second.peer)].load.accepts = false;
-        }
-        if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
-            return;
-        }
-        auto& unanswered_peers = it->second.unanswered_peers;
-        unanswered_peers.erase(std::remove(unanswered_peers.begin(), unanswered_peers.end(), from),
-                               unanswered_peers.end());
-        if (unanswered_peers.empty()) {
-            await_confirmation(it->second, unknown->flow, now);
-        }
+        on_flow_unknown(from, unknown->flow, now);
     }
 }
 
@@ -385,7 +375,7 @@
     check_unclaimed_flows(now);
     repeat_searches(now, out);
     release_requests(now, out);
-    report(now, out);
+    m_load.report(load(), now, out);
     if (now >= m_next_sweep) {
         m_next_sweep = now + sweep_interval;
         sweep(now);
@@ -420,8 +410,7 @@
         m_resent_openings.push_back(opening.bytes);
         const wire::bytes_view bytes{m_resent_openings.back().data(), opening_packet_size};
         if (!redirect_opening(opening, bytes, "host_unanswered", now, out)) {
-            set_request_pending(opening.flow, it->second, false, now);
-            m_flows.erase(it);
+            forget_flow(it, now);
             out.push_back(
                 decision_record{decision::unanswered, opening.flow, {}, opening.hops, load(), "no_peer_accepts"});
         }
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -89,7 +89,8 @@
 relay_task::relay_task(kernel& owner, const relay_settings& process_settings, store_task& store, const log_output& log)
     : m_kernel(owner), m_settings(process_settings), m_store(store), m_log(log),
       m_own_address(relay::ipv4_of(process_settings.packets)),
-      m_view(process_settings.zone, process_settings.host_heartbeat),
+      m_view(process_settings.zone, process_settings.host_heartbeat,
+             relay::route_history(process_settings.flow_ttl, process_settings.first_start)),
       m_sync(m_own_address, seeds_of(process_settings), m_view, &encoded_size),
       m_packets(
           owner.base(), process_settings.packets,
@@ -243,6 +244,12 @@
         write_log(log_event::hosts_changed, "changed=" + std::to_string(change.hosts) +
                                                 " hosts=" + std::to_string(m_view.hosts().size()) + origin);
     }
+    for (const auto& zone : change.zones_evacuated) {
+        write_log(log_event::zone_evacuated, "zone=" + zone + origin);
+    }
+    for (const auto& zone : change.zones_returned) {
+        write_log(log_event::evacuation_ended, "zone=" + zone + origin);
+    }
     if (change.changes_view()) {
         m_sync.on_change(now, m_actions);
     }
@@ -298,6 +305,9 @@
     if (needs_check && mode == relay::read_mode::watch) {
         m_store.check_now();
     }
+    if (m_view.lacks_evacuations() && m_sync.age(now) > relay::confirmation_limit) {
+        m_store.read_again();
+    }
 }
 
 void relay_task::detect_pause(core::time_point now)
