--- a/include/daisydoor/relay/load_exchange.hpp
+++ b/include/daisydoor/relay/load_exchange.hpp
@@ -61,6 +61,9 @@
     /// @brief Records that a new flow was redirected to a peer.
     void on_redirected(ipv4 peer) { ++m_reports[static_cast<std::uint32_t>(peer)].flows_redirected; }
 
+    /// @brief Records that a redirected flow was not confirmed in time: the peer gets no flows before its next report.
+    void on_silence(ipv4 peer) { m_reports[static_cast<std::uint32_t>(peer)].load.accepts = false; }
+
     /// @brief Reports the own load to the peers if it is due.
     void report(const host_load& current, core::time_point now, actions& out);
     /// @brief Lets a changed load be reported at once.
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -33,8 +33,7 @@
 void agent_relay::on_view_ready(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early = m_early.take(now);
-    for (const auto& it : m_handled_early) {
+    for (const auto& it : m_early.take(now)) {
         handle_packet(it.value, {it.bytes.data(), it.bytes.size()}, it.from, now, out);
     }
 }
@@ -373,7 +372,6 @@
 void agent_relay::on_tick(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early.clear();
     check_openings(now, out);
     check_unclaimed_flows(now);
     repeat_searches(now, out);
--- a/src/relay/agent_search.cpp
+++ b/src/relay/agent_search.cpp
@@ -97,6 +97,9 @@
 void agent_relay::on_flow_unknown(ipv4 from, const flow_key& flow, core::time_point now, actions& out)
 {
     const auto it = m_flows.find(flow);
+    if (it != m_flows.end() && it->second.phase == flow_phase::at_peer) {
+        m_load.on_silence(it->second.peer);
+    }
     if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
         return;
     }
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -29,6 +29,7 @@
         {"updates_ignored", "", static_cast<double>(m_older_updates)},
         {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
+        {"zones_suspected", "", static_cast<double>(m_entry ? m_entry->suspected_zones().size() : 0), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
         {"view_age_ms", "", static_cast<double>(m_sync.age(core::clock::now()).count()), false},
         {"former_services", "", static_cast<double>(m_view.history().former().size()), false},
@@ -78,6 +79,9 @@
                                    {"evacuated", entry.zone_evacuated},
                                    {"disputed", entry.disputed_until.has_value()}});
     }
+    if (m_entry) {
+        result["suspected_zones"] = m_entry->suspected_zones();
+    }
     for (const auto& [zone, entry] : m_view.evacuated_zones()) {
         result["evacuated_zones"].push_back({{"zone", zone},
                                              {"revision", static_cast<std::uint64_t>(entry.revision)},
