Do not count hosts of evacuated zones as avoided

At most 30% of the hosts that exchange load avoid new flows because they fail. Peers that accept none counted, whatever their reason, so that with one zone of four evacuated almost no failing host of the others was avoided. Peers of evacuated zones now count neither as avoided nor as hosts. Peers that drain count as before.

--- a/include/daisydoor/relay/load_exchange.hpp
+++ b/include/daisydoor/relay/load_exchange.hpp
@@ -63,8 +63,9 @@
     [[nodiscard]] std::vector<peer_load> usable_peers(const known_route& route, const flow_key& flow, bool own_accepts,
                                                       core::time_point now) const;
 
-    /// @brief Number of peers that exchange load with this agent.
-    [[nodiscard]] std::size_t peer_count() const noexcept { return m_peers.size(); }
+    /// @brief Number of peers that exchange load with this agent, without those in evacuated availability zones, which
+    /// take no flows whatever their state.
+    [[nodiscard]] std::size_t peer_count() const;
     /// @brief Number of these whose hosts accept no new flows.
     [[nodiscard]] std::size_t closed_peer_count() const;
 
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -60,11 +60,17 @@
     }
 }
 
+std::size_t load_exchange::peer_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [this](ipv4 peer) { return !m_view.is_evacuated(peer); }));
+}
+
 std::size_t load_exchange::closed_peer_count() const
 {
     const auto is_closed = [this](ipv4 peer) {
         const auto found = m_reports.find(static_cast<std::uint32_t>(peer));
-        return found != m_reports.end() && !found->second.load.accepts;
+        return found != m_reports.end() && !found->second.load.accepts && !m_view.is_evacuated(peer);
     };
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), is_closed));
 }
--- a/tests/unit/unit-relay-evacuation.cpp
+++ b/tests/unit/unit-relay-evacuation.cpp
@@ -407,6 +407,23 @@
     EXPECT_TRUE(is_refused());
 }
 
+// Guards against failing hosts that get their full share because the closed hosts of an evacuated zone use up the share
+// that may be avoided.
+TEST_F(evacuated_agent_test, hosts_of_evacuated_zone_do_not_count_as_avoided)
+{
+    for (std::uint32_t n = 5; n <= 8; ++n) {
+        add_host(m_view, make_host(n, "svc", "b"));
+        on_message(agent_address(n), host_load{0, 0, 5, false});
+    }
+    tick(core::milliseconds(20));
+    evacuate("b");
+    tick(core::milliseconds(20));
+    for (std::uint16_t port = 1; port < 100; ++port) {
+        run_request(port, false);
+    }
+    EXPECT_FALSE(m_agent->load().accepts);
+}
+
 // Guards against a failing host that gets a probe in an evacuated zone.
 TEST_F(evacuated_agent_test, failing_host_is_not_probed)
 {
