Bound what cold hosts get in any second

A service may publish how many requests a second its hosts bear while they are cold (ColdPerS); nothing read it. A cold host must get no more than that, times ColdOver and plus ColdSlack, in any sliding second, summed over all machines.

The host's own agent, which everything that reaches the host passes, holds the budget: the times of the openings and of the requests of the last second. New flows without room go to a peer at once or are refused, and the load report says that no more is taken; requests on open flows wait in the admission queue. A restarted agent takes its first second for used up. The rates travel with the routes and the remaining time with the hosts, counted by the view's own clock.

Ruled out: a token bucket (up to twice the limit in some second), a budget shared out to the entries (messages, or idle shares), and a ramp over the warm-up time (more than is published).

--- a/include/daisydoor/relay/admission_queue.hpp
+++ b/include/daisydoor/relay/admission_queue.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -98,6 +99,10 @@
     /// @brief Removes and returns the waiting requests that the host has room for, in the order of delivery.
     std::vector<released_request> release(std::uint32_t slots, core::time_point now);
 
+    /// @brief Sets a condition that each request must meet when it is delivered, beside a free slot. It is asked once
+    /// for each request that could be delivered now; one that it refuses waits.
+    void set_condition(std::function<bool(core::time_point)> condition) { m_condition = std::move(condition); }
+
     /// @brief Sets the expected time from the delivery of a request to its answer.
     void set_service_time(core::milliseconds time) noexcept { m_service_time = time; }
 
@@ -148,6 +153,7 @@
     /// Requests released since the last one at its last chance.
     std::uint32_t m_releases = 0;
     core::milliseconds m_service_time = initial_service_time;
+    std::function<bool(core::time_point)> m_condition = [](core::time_point) { return true; };
     std::vector<dropped_request> m_dropped;
 };
 
--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -2,6 +2,7 @@
 
 #include "daisydoor/relay/actions.hpp"
 #include "daisydoor/relay/admission_queue.hpp"
+#include "daisydoor/relay/cold_budget.hpp"
 #include "daisydoor/relay/early_openings.hpp"
 #include "daisydoor/relay/entry_relay.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
@@ -50,6 +51,7 @@
     bool host_may_have_earlier_flows = true;
     /// Maximum age of a flow; every process may have removed an older one.
     core::milliseconds flow_ttl{60'000};
+    cold_allowance cold;
 };
 
 /// @brief Decision core of a relaying agent: delivers packets to the host on its machine, places new flows by load, and
@@ -92,6 +94,7 @@
 
     [[nodiscard]] std::size_t flow_count() const noexcept { return m_flows.size(); }
     [[nodiscard]] host_load load() const noexcept { return m_load.own_load(accepts()); }
+    [[nodiscard]] const cold_budget& cold() const noexcept { return m_cold; }
 
   private:
     enum class flow_phase : std::uint8_t
@@ -245,6 +248,7 @@
     load_exchange m_load;
     flow_map m_flows;
     admission_queue m_admission;
+    cold_budget m_cold;
     host_health m_health;
     std::deque<opening_record> m_openings;
     std::deque<unclaimed_flow> m_unclaimed;
--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -124,6 +124,14 @@
     }
 };
 
+/// @brief What a service publishes of its hosts that have just started.
+struct cold_rate
+{
+    std::string service;
+    /// Requests that such a host bears in a second; above 0.
+    double requests_per_second = 0;
+};
+
 /// @brief All routes of one version of the operator's configuration.
 struct route_set
 {
@@ -131,6 +139,8 @@
     std::vector<route> routes;
     /// Flows that are idle for longer may be removed.
     core::milliseconds idle_timeout{0};
+    /// Services without one have no limit.
+    std::vector<cold_rate> cold_rates;
 };
 
 /// @brief Difference between two versions of the routes; only a process that has the version `base` can apply it.
@@ -142,6 +152,8 @@
     /// Only address and port are set.
     std::vector<route> dropped;
     core::milliseconds idle_timeout{0};
+    /// All of them, as in route_set.
+    std::vector<cold_rate> cold_rates;
 };
 
 /// @brief A host's entry was removed, or no longer describes a host.
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -38,6 +38,8 @@
     /// is written again.
     std::optional<core::time_point> disputed_until;
     bool zone_evacuated = false;
+    /// End of the warm-up time, by this process's clock; the host is cold until then.
+    core::time_point cold_until;
 
     /// @brief Whether the host is there and is not leaving, whether or not it gets new flows.
     [[nodiscard]] bool is_staying() const noexcept { return value.state == host_state::ready && !disputed_until; }
@@ -147,6 +149,9 @@
     {
         return m_idle_timeout.count() > 0 ? m_idle_timeout : default_idle_timeout;
     }
+    /// @brief Requests a second that a host of a service bears while it is cold; nullopt if the service publishes no
+    /// limit.
+    [[nodiscard]] std::optional<double> cold_rate_of(const std::string& service) const;
     /// @brief Whether the present and former services of a route are all at which its flows may be open.
     [[nodiscard]] bool knows_former_services(core::time_point now) const { return m_history.is_complete(now); }
     [[nodiscard]] const route_history& history() const noexcept { return m_history; }
@@ -259,6 +264,7 @@
     route_version m_version{};
     relay::revision m_routes_revision{};
     core::milliseconds m_idle_timeout{0};
+    std::vector<cold_rate> m_cold_rates;
     std::optional<core::time_point> m_regained_at;
     std::unordered_map<std::string, service_index> m_service_indices;
     std::unordered_map<route_key, known_route> m_routes;
--- a/include/daisydoor/runtime/settings.hpp
+++ b/include/daisydoor/runtime/settings.hpp
@@ -4,6 +4,7 @@
 #include "daisydoor/core/error.hpp"
 #include "daisydoor/core/ids.hpp"
 #include "daisydoor/core/time.hpp"
+#include "daisydoor/relay/cold_budget.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
 
 #include <array>
@@ -124,6 +125,8 @@
     core::endpoint host;
     /// Where this process receives the packets that the host sends.
     core::endpoint outbound;
+    /// What the host gets while it is cold, beyond what its service publishes.
+    relay::cold_allowance cold;
 };
 
 /// @brief Settings of a process that relays packet flows on the users' platform.
--- a/src/relay/admission_queue.cpp
+++ b/src/relay/admission_queue.cpp
@@ -33,10 +33,16 @@
 {
     expire_slow_requests(now);
     const bool has_room = m_waiting.empty() && m_in_service.size() < slots + max_requests_beyond_slots;
-    if (has_room || m_waiting.size() >= max_waiting_requests) {
+    const bool is_full = m_waiting.size() >= max_waiting_requests;
+    if ((has_room || is_full) && m_condition(now)) {
         m_in_service.push_back({flow, now});
         return true;
     }
+    if (is_full) {
+        // The client retransmits it.
+        m_dropped.push_back({flow, sequence, core::milliseconds(0)});
+        return false;
+    }
     if (m_waiting.empty()) {
         m_shares.on_idle();
         m_releases = 0;
@@ -101,7 +107,7 @@
     }
     expire_slow_requests(now);
     drop_expired(now);
-    while (!m_waiting.empty() && m_in_service.size() < slots + max_requests_beyond_slots) {
+    while (!m_waiting.empty() && m_in_service.size() < slots + max_requests_beyond_slots && m_condition(now)) {
         const auto it = choose_next(now);
         m_shares.on_released(it->second.share_start);
         const auto waited = std::chrono::duration_cast<core::milliseconds>(now - it->second.arrived_at);
--- a/src/relay/agent_flows.cpp
+++ b/src/relay/agent_flows.cpp
@@ -124,7 +124,8 @@
 bool agent_relay::accepts() const noexcept
 {
     const auto* own = m_view.find_host(m_options.self);
-    return !m_draining && !m_suspected && own != nullptr && own->accepts_new_flows() && !is_avoided();
+    return !m_draining && !m_suspected && own != nullptr && own->accepts_new_flows() && !is_avoided() &&
+           m_cold.may_open(m_admission.waiting());
 }
 
 bool agent_relay::is_avoided() const noexcept
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -16,8 +16,12 @@
 
 agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
     : m_options(std::move(options)), m_view(view), m_search_scope(view, m_options.self),
-      m_load(m_options.self, m_options.service, view)
+      m_load(m_options.self, m_options.service, view),
+      m_cold(m_options.cold, m_options.host_may_have_earlier_flows
+                                 ? m_options.started_at + cold_window + cold_window_slack
+                                 : core::time_point{})
 {
+    m_admission.set_condition([this](core::time_point now) { return m_cold.try_request(now); });
 }
 
 void agent_relay::on_packet(const packet& value, wire::bytes_view bytes, ipv4 from, core::time_point now, actions& out)
@@ -122,7 +126,9 @@
         return;
     }
     m_load.update_peers(now);
-    const bool is_allowed = own && route->allows(*own) && !m_view.is_evacuated(m_options.self);
+    m_cold.update(m_view, m_options.self, m_options.service, now);
+    const bool is_allowed =
+        own && route->allows(*own) && !m_view.is_evacuated(m_options.self) && m_cold.may_open(m_admission.waiting());
     auto load = this->load();
     load.accepts = load.accepts && is_allowed;
     const auto peers = m_load.usable_peers(*route, value.flow, load.accepts, now);
@@ -143,6 +149,7 @@
         }
         // A copy of a real opening packet probes a host that did not answer; the client uses the first answer.
         m_next_probe = now + probe_interval;
+        m_cold.on_opening(now);
         out.push_back(send_to_host{bytes, value.entry});
         return;
     }
@@ -219,6 +226,7 @@
     opening.hops = value.hops;
     opening.deadline = now + opening_timeout;
     m_openings.push_back(opening);
+    m_cold.on_opening(now);
     out.push_back(send_to_host{bytes, value.entry});
 }
 
@@ -373,6 +381,7 @@
 {
     m_resent_openings.clear();
     m_handled_early.clear();
+    m_cold.update(m_view, m_options.self, m_options.service, now);
     check_openings(now, out);
     check_unclaimed_flows(now);
     repeat_searches(now, out);
--- a/src/relay/agent_search.cpp
+++ b/src/relay/agent_search.cpp
@@ -18,10 +18,14 @@
 
 void agent_relay::on_unknown_flow(const packet& value, wire::bytes_view bytes, core::time_point now, actions& out)
 {
+    const bool may_probe_host = host_may_have_unknown_flow(now);
+    if (may_probe_host && value.payload_size > 0 && !m_cold.try_request(now)) {
+        return;
+    }
     auto& record = m_flows[value.flow];
     record.entry = value.entry;
     record.last_activity_at = now;
-    if (host_may_have_unknown_flow(now)) {
+    if (may_probe_host) {
         set_phase(record, flow_phase::probing, now);
         out.push_back(send_to_host{bytes, value.entry});
         return;
@@ -146,6 +150,9 @@
         out.push_back(send_message{from, flow_unknown{value.flow}});
         return;
     }
+    if (value.payload_size > 0 && !m_cold.try_request(now)) {
+        return;
+    }
     auto& record = m_flows[value.flow];
     set_phase(record, flow_phase::probing, now);
     record.entry = value.entry;
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -58,8 +58,19 @@
 flatbuffers::Offset<wire::fleet_routes> pack_routes(flatbuffers::FlatBufferBuilder& builder, route_version version,
                                                     route_version base, core::milliseconds idle_timeout,
                                                     const std::vector<route>& changed,
-                                                    const std::vector<route>& dropped)
+                                                    const std::vector<route>& dropped,
+                                                    const std::vector<cold_rate>& rates)
 {
+    // Nothing is sent where no service publishes one.
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::fleet_cold_rate>>> packed_rates;
+    if (!rates.empty()) {
+        std::vector<flatbuffers::Offset<wire::fleet_cold_rate>> cold_rates;
+        for (const auto& it : rates) {
+            cold_rates.push_back(
+                wire::Createfleet_cold_rate(builder, builder.CreateString(it.service), it.requests_per_second));
+        }
+        packed_rates = builder.CreateVector(cold_rates);
+    }
     std::vector<flatbuffers::Offset<wire::fleet_route>> routes;
     routes.reserve(changed.size());
     for (const auto& it : changed) {
@@ -73,7 +84,7 @@
     const auto packed_routes = builder.CreateVector(routes);
     const auto packed_keys = builder.CreateVector(keys);
     return wire::Createfleet_routes(builder, static_cast<std::uint64_t>(version), static_cast<std::uint64_t>(base),
-                                    to_wire(idle_timeout), packed_routes, packed_keys);
+                                    to_wire(idle_timeout), packed_routes, packed_keys, packed_rates);
 }
 
 flatbuffers::Offset<wire::fleet_change> pack(flatbuffers::FlatBufferBuilder& builder, const fleet_change& value)
@@ -87,9 +98,9 @@
         return wire::Createfleet_change(builder, revision, 0, builder.CreateString(removed->id));
     }
     if (const auto* routes = std::get_if<route_set>(&value.value)) {
-        return wire::Createfleet_change(
-            builder, revision, 0, 0,
-            pack_routes(builder, routes->version, route_version{}, routes->idle_timeout, routes->routes, {}));
+        return wire::Createfleet_change(builder, revision, 0, 0,
+                                        pack_routes(builder, routes->version, route_version{}, routes->idle_timeout,
+                                                    routes->routes, {}, routes->cold_rates));
     }
     if (const auto* evacuated = std::get_if<zone_evacuated>(&value.value)) {
         return wire::Createfleet_change(builder, revision, 0, 0, 0, 0, 0,
@@ -100,9 +111,9 @@
                                         builder.CreateString(ended->availability_zone));
     }
     const auto& delta = std::get<route_delta>(value.value);
-    return wire::Createfleet_change(
-        builder, revision, 0, 0,
-        pack_routes(builder, delta.version, delta.base, delta.idle_timeout, delta.changed, delta.dropped));
+    return wire::Createfleet_change(builder, revision, 0, 0,
+                                    pack_routes(builder, delta.version, delta.base, delta.idle_timeout, delta.changed,
+                                                delta.dropped, delta.cold_rates));
 }
 
 flatbuffers::Offset<wire::fleet_past> pack(flatbuffers::FlatBufferBuilder& builder, const routes_past& value)
@@ -166,11 +177,18 @@
     }
     const route_version version{value.version()};
     const core::milliseconds idle_timeout(value.idle_timeout_ms());
+    std::vector<cold_rate> rates;
+    if (value.cold_rates() != nullptr) {
+        for (const auto* it : *value.cold_rates()) {
+            rates.push_back({it->service()->str(), it->requests_per_second()});
+        }
+    }
     if (value.base_version() == 0) {
-        change.value.emplace<route_set>(route_set{version, std::move(routes), idle_timeout});
+        change.value.emplace<route_set>(route_set{version, std::move(routes), idle_timeout, std::move(rates)});
         return;
     }
-    route_delta delta{route_version{value.base_version()}, version, std::move(routes), {}, idle_timeout};
+    route_delta delta{
+        route_version{value.base_version()}, version, std::move(routes), {}, idle_timeout, std::move(rates)};
     if (value.dropped() != nullptr) {
         for (const auto* it : *value.dropped()) {
             route key;
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -241,6 +241,7 @@
     route_set whole;
     whole.version = value.version;
     whole.idle_timeout = value.idle_timeout;
+    whole.cold_rates = value.cold_rates;
     const auto is_replaced = [&value](const route& it) {
         const auto is_same = [&it](const route& other) { return other.address == it.address && other.port == it.port; };
         return std::any_of(value.changed.begin(), value.changed.end(), is_same) ||
@@ -268,6 +269,10 @@
 
 bool fleet_view::apply_routes(const route_set& value, relay::revision at, bool is_gapless, core::time_point now)
 {
+    if (value.version == m_version && m_cold_rates.empty()) {
+        // A process of an earlier build told the version without them.
+        m_cold_rates = value.cold_rates;
+    }
     if (value.version <= m_version) {
         return false;
     }
@@ -297,9 +302,17 @@
     m_version = value.version;
     m_routes_revision = at;
     m_idle_timeout = value.idle_timeout;
+    m_cold_rates = value.cold_rates;
     return true;
 }
 
+std::optional<double> fleet_view::cold_rate_of(const std::string& service) const
+{
+    const auto it = std::find_if(m_cold_rates.begin(), m_cold_rates.end(),
+                                 [&service](const cold_rate& rate) { return rate.service == service; });
+    return it != m_cold_rates.end() ? std::optional(it->requests_per_second) : std::nullopt;
+}
+
 void fleet_view::record_lost_services(const known_route& before, const known_route* after, core::time_point now)
 {
     for (std::size_t i = 0; i < before.services.size(); ++i) {
--- a/src/relay/fleet_view_hosts.cpp
+++ b/src/relay/fleet_view_hosts.cpp
@@ -46,6 +46,7 @@
     }
     const bool is_certain = !entry.grace_ends_at && !entry.disputed_until && change.grace.count() == 0;
     entry.revision = at;
+    entry.cold_until = now + value.cold_remaining;
     if (!added && is_certain && entry.value == value) {
         entry.value.sequence = value.sequence;
         return false;
--- a/src/relay/fleet_view_log.cpp
+++ b/src/relay/fleet_view_log.cpp
@@ -14,6 +14,12 @@
 /// Maximum number of changes kept for subscribers; one that is further behind fetches the whole view.
 constexpr std::size_t max_logged_changes = 256;
 
+/// Time until `end`; 0 if it is over.
+core::milliseconds remaining(core::time_point end, core::time_point now)
+{
+    return std::max(std::chrono::ceil<core::milliseconds>(end - now), core::milliseconds(0));
+}
+
 /// Time until `end`, at least 1 ms; 0 without an end.
 core::milliseconds remaining(const std::optional<core::time_point>& end, core::time_point now)
 {
@@ -31,7 +37,7 @@
 /// @param before sorted routes of the version `base`
 route_delta make_delta(route_version base, const std::vector<route>& before, const route_set& after)
 {
-    route_delta result{base, after.version, {}, {}, after.idle_timeout};
+    route_delta result{base, after.version, {}, {}, after.idle_timeout, after.cold_rates};
     auto routes = after.routes;
     std::sort(routes.begin(), routes.end(), is_route_before);
     std::set_difference(before.begin(), before.end(), routes.begin(), routes.end(), std::back_inserter(result.dropped),
@@ -110,13 +116,16 @@
         result.changes.push_back({entry.revision, zone_evacuated{zone}});
     }
     for (const auto& [id, entry] : m_hosts) {
-        result.changes.push_back(
-            {entry.revision, entry.value, remaining(entry.grace_ends_at, now), remaining(entry.disputed_until, now)});
+        auto value = entry.value;
+        value.cold_remaining = remaining(entry.cold_until, now);
+        result.changes.push_back({entry.revision, std::move(value), remaining(entry.grace_ends_at, now),
+                                  remaining(entry.disputed_until, now)});
     }
     if (is_ready()) {
         route_set routes;
         routes.version = m_version;
         routes.idle_timeout = m_idle_timeout;
+        routes.cold_rates = m_cold_rates;
         for (const auto& [key, entry] : m_routes) {
             routes.routes.push_back(entry.value);
         }
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -43,6 +43,10 @@
         message.samples.push_back(
             {"decisions", std::string(relay::decision_names.at(i)), static_cast<double>(m_decisions.at(i))});
     }
+    if (m_agent) {
+        const auto limit = m_agent->cold().limit();
+        message.samples.push_back({"cold_limit", "", limit ? static_cast<double>(*limit) : -1.0, false});
+    }
     m_metrics.update(message);
     collect_metrics platform;
     if (const auto found = m_kernel.find_optional_handler<collect_metrics>(task_names::platform)) {
@@ -90,6 +94,9 @@
                           {"open_flows", load.open_flows},
                           {"slots", load.slots},
                           {"accepts", load.accepts}};
+        if (const auto limit = m_agent->cold().limit()) {
+            result["cold_limit"] = *limit;
+        }
     }
     return result.dump(2) + '\n';
 }
--- a/src/runtime/relay_settings.cpp
+++ b/src/runtime/relay_settings.cpp
@@ -10,16 +10,20 @@
 constexpr std::uint64_t max_flow_ttl_s = 86'400;
 constexpr std::uint64_t max_grace_s = 3600;
 constexpr std::uint64_t max_host_heartbeat_ms = 60'000;
+constexpr double max_cold_factor = 1000;
+constexpr double max_cold_extra = 1'000'000;
 
 relay_agent_settings read_relay_agent(settings_reader& reader, const YAML::Node& node)
 {
     relay_agent_settings result;
-    if (!reader.check_map(node, "agent", {"service", "host", "outbound"})) {
+    if (!reader.check_map(node, "agent", {"service", "host", "outbound", "cold_factor", "cold_extra"})) {
         return result;
     }
     result.service = reader.short_string(node, "agent", "service");
     result.host = reader.endpoint(node, "agent", "host");
     result.outbound = reader.endpoint(node, "agent", "outbound");
+    result.cold.factor = reader.decimal(node, "agent", "cold_factor", result.cold.factor, max_cold_factor);
+    result.cold.extra = reader.decimal(node, "agent", "cold_extra", result.cold.extra, max_cold_extra);
     return result;
 }
 
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -81,6 +81,7 @@
     result.started_at = core::clock::now();
     result.host_may_have_earlier_flows = !process_settings.first_start;
     result.flow_ttl = process_settings.flow_ttl;
+    result.cold = process_settings.agent->cold;
     return result;
 }
 
--- a/src/runtime/settings_reader.hpp
+++ b/src/runtime/settings_reader.hpp
@@ -122,6 +122,24 @@
         return value;
     }
 
+    /// An optional decimal number from 0 to `high`.
+    double decimal(const YAML::Node& map, const std::string& path, const std::string& key, double default_value,
+                   double high)
+    {
+        const std::string allowed = "a number from 0 to " + std::to_string(static_cast<std::uint64_t>(high));
+        const auto node = scalar(map, path, key, false, allowed);
+        if (!node.IsDefined()) {
+            return default_value;
+        }
+        double value = 0;
+        if (!YAML::convert<double>::decode(node, value)) {
+            report(settings_errc::wrong_type, node, join(path, key), "'" + node.Scalar() + "' must be " + allowed);
+        } else if (!(value >= 0 && value <= high)) {
+            report(settings_errc::out_of_range, node, join(path, key), "'" + node.Scalar() + "' must be " + allowed);
+        }
+        return value;
+    }
+
     template <std::size_t N>
     std::optional<std::size_t> enum_name(const YAML::Node& map, const std::string& key, bool required,
                                          const std::array<std::string_view, N>& names)
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -311,6 +311,23 @@
     EXPECT_EQ(std::get<relay::evacuation_ended>(result.changes[0].value).availability_zone, "b");
 }
 
+// Guards against a limit of cold hosts that is missing, or that an invalid service hides together with the routes.
+TEST_F(platform_store_test, decode_page_configuration_returns_cold_rates)
+{
+    m_config["Services"] = {{{"Name", "a"}, {"ColdPerS", 12.5}, {"ColdStartS", 2.0}},
+                            {{"Name", "b"}, {"ColdPerS", 0.0}},
+                            {{"Name", "c"}},
+                            {{"Name", "d"}, {"ColdPerS", -1}},
+                            {{"Name", "e"}, {"ColdPerS", "3"}}};
+    const auto result = decode(page(json::array({item("op/config", m_config.dump())}))).update;
+    const auto& value = std::get<relay::route_set>(result.changes.at(0).value);
+    EXPECT_EQ(value.routes.size(), 2U);
+    ASSERT_EQ(value.cold_rates.size(), 1U);
+    EXPECT_EQ(value.cold_rates[0].service, "a");
+    EXPECT_EQ(value.cold_rates[0].requests_per_second, 12.5);
+    EXPECT_EQ(result.rejected.size(), 2U);
+}
+
 // Guards against a malformed response that is treated as an empty one.
 TEST_F(platform_store_test, decode_page_malformed_body_throws)
 {
--- a/tests/unit/unit-runtime-settings.cpp
+++ b/tests/unit/unit-runtime-settings.cpp
@@ -189,5 +189,21 @@
     EXPECT_THROW(parse_relay_settings(text + "host_heartbeat_ms: 0\n", "f"), settings_error);
 }
 
+// Guards against an allowance of cold hosts that is ignored, or taken although it is out of range.
+TEST(relay_settings_test, cold_allowance_is_read_and_checked)
+{
+    const std::string text = "role: relay_agent\nname: e\nzone: a\npackets: 10.0.0.1:80\nadmin: 10.0.0.1:81\n"
+                             "peer_port: 82\nplatform: 10.0.0.2:83\nseeds: []\nfirst_start: true\n"
+                             "agent:\n  service: s\n  host: 10.0.0.1:84\n  outbound: 10.0.0.1:85\n";
+    EXPECT_EQ(parse_relay_settings(text, "f").agent->cold.factor, 1);
+    EXPECT_EQ(parse_relay_settings(text, "f").agent->cold.extra, 0);
+    const auto result = parse_relay_settings(text + "  cold_factor: 1.5\n  cold_extra: 5\n", "f");
+    EXPECT_EQ(result.agent->cold.factor, 1.5);
+    EXPECT_EQ(result.agent->cold.extra, 5);
+    for (const std::string line : {"cold_factor: -1", "cold_factor: .nan", "cold_extra: x", "cold_factor: 1001"}) {
+        EXPECT_THROW(parse_relay_settings(text + "  " + line + "\n", "f"), settings_error) << line;
+    }
+}
+
 } // namespace
 } // namespace daisydoor::runtime
