--- a/include/daisydoor/relay/actions.hpp
+++ b/include/daisydoor/relay/actions.hpp
@@ -51,6 +51,8 @@
     std::uint32_t question = 0;
     /// Era of the revision; 0 also from a process of a build without eras.
     store_era era{};
+    /// Time for which the sender knows all former services of the routes; 0 if it cannot be told any.
+    core::milliseconds past{0};
 
     [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 };
@@ -146,11 +148,13 @@
     request_waits,
     request_released,
     request_dropped,
+    zone_suspected,
+    zone_answers,
 };
-constexpr std::array<std::string_view, 15> decision_names{
-    "placed",       "placed_again",    "redirected",    "refused",          "opened",
-    "unanswered",   "search_started",  "flow_lost",     "route_unknown",    "host_suspected",
-    "host_answers", "agent_suspected", "request_waits", "request_released", "request_dropped"};
+constexpr std::array<std::string_view, 17> decision_names{
+    "placed",         "placed_again",     "redirected",      "refused",        "opened",       "unanswered",
+    "search_started", "flow_lost",        "route_unknown",   "host_suspected", "host_answers", "agent_suspected",
+    "request_waits",  "request_released", "request_dropped", "zone_suspected", "zone_answers"};
 
 /// @brief Log record of one decision with its inputs.
 struct decision_record
--- a/scripts/tidy.sh
+++ b/scripts/tidy.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs clang-tidy on one file, unless it passed before with the same version, checks, command line and preprocessed text.
+# Runs clang-tidy on one file, unless it passed before with the same version, checks, command line and text with
+# all that it includes.
 # Usage: scripts/tidy.sh BUILD_DIR FILE
 set -euo pipefail
 build=$1
@@ -19,8 +20,12 @@
 )
 key=
 if [ -n "$command" ]; then
-    # -CC keeps the comments, since a check may depend on them.
-    text=$(eval "$command -E -CC $(printf '%q' "$file")" | sed "s|$PWD/||g" | sha256sum)
+    preprocess="$command -E -CC $(printf '%q' "$file")"
+    list_files="$command -M $(printf '%q' "$file")"
+    # -CC keeps the comments, since a check may depend on them. The compiler can't paste some macros with comments: then the
+    # included files stand for the text.
+    text=$(eval "$preprocess" 2>/dev/null | sed "s|$PWD/||g" | sha256sum) ||
+        text=$(eval "$list_files" | sed 's/^[^:]*://' | tr -s ' \\\n' '\n' | grep . | xargs sha256sum | cut -d' ' -f1 | sort | sha256sum)
     key=$({ clang-tidy --version; cat .clang-tidy; sed "s|$PWD/||g" <<<"$command"; echo "$text"; } | sha256sum | cut -d' ' -f1)
 fi
 if [ -n "$key" ] && [ -e "$cache/$key" ]; then
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 agent_relay::agent_relay(agent_relay_options options, const fleet_view& view)
-    : m_options(std::move(options)), m_view(view), m_load(m_options.self, m_options.service, view)
+    : m_options(std::move(options)), m_view(view), m_search_scope(view, m_options.self),
+      m_load(m_options.self, m_options.service, view)
 {
 }
 
@@ -32,8 +33,7 @@
 void agent_relay::on_view_ready(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early = m_early.take(now);
-    for (const auto& it : m_handled_early) {
+    for (const auto& it : m_early.take(now)) {
         handle_packet(it.value, {it.bytes.data(), it.bytes.size()}, it.from, now, out);
     }
 }
@@ -147,7 +147,7 @@
     }
     const auto service_time = m_profile.service_time();
     const auto patience = patience_of(value.flow);
-    if (should_defer(load, peers, value.acknowledgement, service_time, patience)) {
+    if (should_defer(load, peers, value.acknowledgement, service_time, patience, route->value.target_latency)) {
         decline(value, load, "peers_missing", out);
         return;
     }
@@ -352,7 +352,7 @@
     }
 }
 
-void agent_relay::on_message(ipv4 from, const message& value, core::time_point now)
+void agent_relay::on_message(ipv4 from, const message& value, core::time_point now, actions& out)
 {
     if (const auto* load = std::get_if<host_load>(&value)) {
         m_load.on_report(from, *load, now);
@@ -365,23 +365,13 @@
             record.last_activity_at = now;
         }
     } else if (const auto* unknown = std::get_if<flow_unknown>(&value)) {
-        const auto it = m_flows.find(unknown->flow);
-        if (it == m_flows.end() || it->second.phase != flow_phase::searching) {
-            return;
-        }
-        auto& unanswered_peers = it->second.unanswered_peers;
-        unanswered_peers.erase(std::remove(unanswered_peers.begin(), unanswered_peers.end(), from),
-                               unanswered_peers.end());
-        if (unanswered_peers.empty()) {
-            await_confirmation(it->second, unknown->flow, now);
-        }
+        on_flow_unknown(from, unknown->flow, now, out);
     }
 }
 
 void agent_relay::on_tick(core::time_point now, actions& out)
 {
     m_resent_openings.clear();
-    m_handled_early.clear();
     check_openings(now, out);
     check_unclaimed_flows(now);
     repeat_searches(now, out);
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -119,14 +119,17 @@
     constexpr int avoided = 1;
     const known_host* result = nullptr;
     rank best;
+    const auto consider_host = [&](const known_host& it) {
+        const rank candidate{is_avoided(it.value.address) ? avoided : 0,
+                             core::rendezvous_distance(flow_hash, it.rendezvous_key)};
+        if (candidate < best) {
+            best = candidate;
+            result = &it;
+        }
+    };
     const auto consider = [&](service_index service) {
         for (const auto* it : view.hosts_of(service)) {
-            const rank candidate{is_avoided(it->value.address) ? avoided : 0,
-                                 core::rendezvous_distance(flow_hash, it->rendezvous_key)};
-            if (candidate < best) {
-                best = candidate;
-                result = it;
-            }
+            consider_host(*it);
         }
     };
     for (const auto& choice : route.services) {
@@ -135,6 +138,12 @@
     for (const auto service : route.former_services) {
         consider(service);
     }
+    if (result == nullptr) {
+        // Any agent can search for the flow.
+        for (const auto& [id, it] : view.hosts()) {
+            consider_host(it);
+        }
+    }
     return result;
 }
 
@@ -197,11 +206,14 @@
 }
 
 bool should_defer(const host_load& own, const std::vector<peer_load>& peers, std::uint32_t copies,
-                  core::milliseconds service_time, core::milliseconds patience) noexcept
+                  core::milliseconds service_time, core::milliseconds patience,
+                  core::milliseconds target_latency) noexcept
 {
     const bool sends_copy =
         copies < last_copy && (patience.count() == 0 || age_of_copy(copies + 1) + defer_wait < patience);
-    return sends_copy && expected_wait(own, service_time) >= defer_wait &&
+    const auto wait = expected_wait(own, service_time);
+    const bool is_on_time = age_of_copy(copies) + wait + service_time < target_latency;
+    return sends_copy && !is_on_time && wait >= defer_wait &&
            std::any_of(peers.begin(), peers.end(), [](const peer_load& it) { return !it.has_reported; });
 }
 
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -29,8 +29,11 @@
         {"updates_ignored", "", static_cast<double>(m_older_updates)},
         {"log_lines_dropped", "", static_cast<double>(m_log.dropped())},
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
+        {"zones_suspected", "", static_cast<double>(m_entry ? m_entry->suspected_zones().size() : 0), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
         {"view_age_ms", "", static_cast<double>(m_sync.age(core::clock::now()).count()), false},
+        {"former_services", "", static_cast<double>(m_view.history().former().size()), false},
+        {"routes_past_ms", "", static_cast<double>(m_view.history().complete_for(core::clock::now()).count()), false},
         {"route_version", "", static_cast<double>(static_cast<std::uint64_t>(m_view.version())), false}};
     message.samples.push_back({"evacuated_zones", "", static_cast<double>(m_view.evacuated_zones().size()), false});
     for (const auto& [zone, entry] : m_view.evacuated_zones()) {
@@ -76,11 +79,21 @@
                                    {"evacuated", entry.zone_evacuated},
                                    {"disputed", entry.disputed_until.has_value()}});
     }
+    if (m_entry) {
+        result["suspected_zones"] = m_entry->suspected_zones();
+    }
     for (const auto& [zone, entry] : m_view.evacuated_zones()) {
         result["evacuated_zones"].push_back({{"zone", zone},
                                              {"revision", static_cast<std::uint64_t>(entry.revision)},
                                              {"age_ms", milliseconds_since(entry.since)}});
     }
+    const auto past = m_view.history().describe(core::clock::now());
+    result["routes_past_ms"] = past.complete_for.count();
+    for (const auto& it : past.former) {
+        result["former_services"].push_back({{"route", to_string(relay::endpoint_of(it.address, it.port))},
+                                             {"service", it.service},
+                                             {"age_ms", it.age.count()}});
+    }
     if (m_agent) {
         const auto load = m_agent->load();
         result["load"] = {{"in_flight", load.in_flight},
