End the request of a probed flow that its host returns

Cause: an agent that is searched for a flow delivers the searching peer's packet to its host; a packet of the client that arrives meanwhile begins a request. The host returned the first packet, and the record went without the end of the request, which then counted as load for good. Change: the record is forgotten like any other. The new test fails with the former code (in_flight 1).

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -327,7 +327,7 @@
         forget_flow(it, now);
     } else if (record.phase == flow_phase::probing && record.peer != ipv4{}) {
         out.push_back(send_message{record.peer, flow_unknown{value.flow}});
-        m_flows.erase(it);
+        forget_flow(it, now);
     } else if (record.phase == flow_phase::probing) {
         search(record, value, bytes, now, out);
     } else if (record.phase == flow_phase::established || record.phase == flow_phase::opening) {
--- a/tests/unit/unit-relay-search.cpp
+++ b/tests/unit/unit-relay-search.cpp
@@ -53,6 +53,22 @@
     EXPECT_EQ(sent_messages<flow_found>().size(), 1U);
 }
 
+// Guards against a request that counts as load for good although its host does not have the flow: the client's packet
+// arrived while a peer searched for the flow here.
+TEST_F(agent_search_test, probed_flow_that_host_returns_leaves_no_load)
+{
+    restart(true);
+    auto value = make_packet(make_flow());
+    value.payload_size = 10;
+    value.path = packet_path::search;
+    on_packet(value, agent_address(2));
+    value.path = packet_path::direct;
+    on_packet(value);
+    ASSERT_EQ(m_agent->load().in_flight, 1U);
+    on_host_packet(returned(value));
+    EXPECT_EQ(m_agent->load().in_flight, 0U);
+}
+
 // Guards against flows that are in no table although they are open at a peer's host.
 TEST_F(agent_search_test, unknown_packet_asks_all_peers)
 {
