Evacuate availability zones in the soak

Cause: the soak did not play evacuations. One of its faults now evacuates a zone for up to 3 s, so that also both are evacuated together, over restores of the store too. After the faults it evacuates a zone, and 5 s later its hosts accept no flow for a second while requests are answered. Ruled out: a check during the faults, since the rule holds for machines in touch only.

--- a/tests/standins/relay/host.cpp
+++ b/tests/standins/relay/host.cpp
@@ -88,6 +88,7 @@
     auto [it, added] = m_flows.try_emplace(id);
     auto& entry = it->second;
     if (added) {
+        ++m_accepted_flows;
         m_next_sequence = m_next_sequence * 1'664'525U + 1'013'904'223U;
         entry.own_next = m_next_sequence + 1;
         entry.client_next = value.next_sequence();
--- a/tests/standins/relay/host.hpp
+++ b/tests/standins/relay/host.hpp
@@ -38,6 +38,8 @@
     /// @brief Whether the host has the flow and neither end has closed it.
     [[nodiscard]] bool has_open_flow(const flow_id& id) const;
     [[nodiscard]] std::size_t open_flows() const { return m_flows.size(); }
+    /// @brief Number of flows that the host has accepted.
+    [[nodiscard]] std::size_t accepted_flows() const { return m_accepted_flows; }
 
   private:
     struct flow
@@ -73,6 +75,7 @@
     std::map<flow_id, flow> m_flows;
     std::deque<work> m_queue;
     std::size_t m_busy = 0;
+    std::size_t m_accepted_flows = 0;
     std::uint32_t m_next_sequence;
     /// False after destruction: timers outlive a host that is killed and then do nothing.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tests/standins/relay/soak.cpp
+++ b/tests/standins/relay/soak.cpp
@@ -27,7 +27,7 @@
     const int host = pick(environment.hosts());
     const auto name = [machine](const char* what) { return std::string(what) + ' ' + std::to_string(machine); };
     const auto restart = [&environment, machine] { environment.restart(machine); };
-    constexpr int kinds = 12;
+    constexpr int kinds = 13;
     switch (pick(kinds)) {
     case 0:
         environment.kill(machine);
@@ -77,6 +77,11 @@
     case 10:
         environment.save_store_copy();
         return {"save copy of store", [] {}};
+    case 11: {
+        const std::string zone = pick(2) == 0 ? "a" : "b";
+        environment.set_evacuated(zone, true);
+        return {"evacuate zone " + zone, [&environment, zone] { environment.set_evacuated(zone, false); }};
+    }
     default:
         environment.publish(pick(2) == 0);
         return {"publish", [] {}};
--- a/tests/standins/relay/world.cpp
+++ b/tests/standins/relay/world.cpp
@@ -1,6 +1,7 @@
 #include "standins/relay/world.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -40,6 +41,12 @@
 constexpr core::milliseconds apply_limit{7000};
 constexpr core::milliseconds apply_check_interval{200};
 constexpr const char* hosts_prefix = "servers/";
+constexpr const char* evacuation_prefix = "op/evacuate/";
+constexpr std::array<const char*, 2> zones{"a", "b"};
+/// Time after which an evacuated availability zone gets no flow any more (EvacuateMs).
+constexpr core::milliseconds evacuation_limit{5000};
+/// Time for which clients open flows in that state.
+constexpr core::milliseconds evacuation_check_time{1000};
 constexpr core::milliseconds step{20};
 /// Time after a fault in which the system may reset open flows (ContactMs).
 constexpr core::milliseconds allowed_reset_time{4000};
@@ -51,6 +58,8 @@
 /// Event of a process that should read the platform and has stopped.
 constexpr const char* read_stalled_event = " [1206] ";
 
+const char* zone_of(int last_octet) { return zones.at(static_cast<std::size_t>(last_octet) % zones.size()); }
+
 } // namespace
 
 world::world(const world_options& options) : m_options(options), m_router(m_loop)
@@ -89,8 +98,8 @@
     const int peer = address(value.last_octet, peer_port).port;
     std::ofstream out(m_options.folder + '/' + value.name + ".yaml");
     out << "role: " << (value.is_entry ? "relay_entry" : "relay_agent") << "\nname: " << value.name
-        << "\nzone: " << (value.last_octet % 2 == 0 ? "a" : "b") << "\npackets: " << at(packets_port)
-        << "\nadmin: " << at(admin_port) << "\npeer_port: " << peer << "\nplatform: " << at(link_port) << "\nseeds: [\""
+        << "\nzone: " << zone_of(value.last_octet) << "\npackets: " << at(packets_port) << "\nadmin: " << at(admin_port)
+        << "\npeer_port: " << peer << "\nplatform: " << at(link_port) << "\nseeds: [\""
         << m_range.address(first_entry, admin_port) << "\"]\nfirst_start: " << (first_start ? "true" : "false")
         << "\ngrace_s: 3\n";
     if (!value.is_entry) {
@@ -129,7 +138,7 @@
     const auto& options = m_hosts[i]->options();
     const json value{{"Service", options.service},
                      {"Address", core::to_string(options.app)},
-                     {"Zone", (first_host + index) % 2 == 0 ? "a" : "b"},
+                     {"Zone", zone_of(first_host + index)},
                      {"Version", "v1"},
                      {"Concurrency", options.slots},
                      {"State", state},
@@ -164,8 +173,54 @@
     m_store->put(configuration_key, m_published[configuration_key]);
 }
 
+void world::set_evacuated(const std::string& zone, bool evacuated)
+{
+    if (evacuated) {
+        m_evacuated_zones.insert(zone);
+        m_store->put(evacuation_prefix + zone, "{}");
+    } else {
+        m_evacuated_zones.erase(zone);
+        m_store->remove(evacuation_prefix + zone);
+    }
+}
+
+std::size_t world::accepted_flows(const std::string& zone) const
+{
+    std::size_t result = 0;
+    for (int i = 0; i < m_options.hosts; ++i) {
+        if (zone == zone_of(first_host + i)) {
+            result += m_hosts[static_cast<std::size_t>(i)]->accepted_flows();
+        }
+    }
+    return result;
+}
+
+void world::check_evacuation()
+{
+    const std::string zone = zones.front();
+    set_evacuated(zone, true);
+    run(evacuation_limit);
+    const auto before = accepted_flows(zone);
+    const auto answered = m_record.answered;
+    run(evacuation_check_time);
+    if (accepted_flows(zone) != before) {
+        m_record.add_violation("hosts of an evacuated zone accepted " + std::to_string(accepted_flows(zone) - before) +
+                               " flows 5 s after its evacuation");
+    }
+    if (m_record.answered == answered) {
+        m_record.add_violation("no request is answered while one of two zones is evacuated");
+    }
+    set_evacuated(zone, false);
+}
+
 void world::publish_again()
 {
+    for (const std::string zone : zones) {
+        const bool evacuated = m_evacuated_zones.count(zone) != 0;
+        if (evacuated != !m_store->value(evacuation_prefix + zone).empty()) {
+            set_evacuated(zone, evacuated);
+        }
+    }
     if (const auto& newest = m_published.at(configuration_key); m_store->value(configuration_key) != newest) {
         m_store->put(configuration_key, newest);
     }
@@ -364,6 +419,9 @@
 void world::recover()
 {
     set_store(store_mode::normal);
+    for (const std::string zone : zones) {
+        set_evacuated(zone, false);
+    }
     for (int i = 0; i < machines(); ++i) {
         set_link(i, proxy_mode::pass);
         resume(i);
@@ -389,6 +447,7 @@
 std::vector<std::string> world::finish()
 {
     await_newest_routes();
+    check_evacuation();
     for (const auto& it : m_clients) {
         it->stop();
     }
--- a/tests/standins/relay/world.hpp
+++ b/tests/standins/relay/world.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
     void drain_host(int index);
     /// @brief Publishes a new version; `with_second_route` adds or drops the route that no client uses.
     void publish(bool with_second_route);
+    /// @brief Asks that the hosts of an availability zone get nothing new, or takes the request back.
+    void set_evacuated(const std::string& zone, bool evacuated);
     /// @brief Writes an entry of another writer among those of the hosts.
     void write_odd_entry(const std::string& value) { m_store->put("servers/odd", value); }
 
@@ -100,6 +103,9 @@
     /// @brief Waits until every process has the operator's newest routes; adds a violation for each that has not in
     /// time.
     void await_newest_routes();
+    /// @brief Evacuates an availability zone; adds a violation if its hosts accept flows afterwards.
+    void check_evacuation();
+    [[nodiscard]] std::size_t accepted_flows(const std::string& zone) const;
     /// @brief Whether the log of a machine's processes contains a text.
     [[nodiscard]] bool has_logged(const machine& value, const std::string& text) const;
     [[nodiscard]] bool has_newest_routes(const machine& value) const;
@@ -121,6 +127,7 @@
     std::vector<int> m_sequences;
     std::vector<std::unique_ptr<client>> m_clients;
     std::uint64_t m_version = 0;
+    std::set<std::string> m_evacuated_zones;
     /// Newest values that the operator and the hosts wrote, by key.
     std::map<std::string, std::string> m_published;
     core::time_point m_last_fault;
