Append to the settings of a test instead of concatenating them

Cause: the linter names the temporary strings of the concatenation in the cold hosts' settings test. Change: the text is built by append. The test checks the same lines.

--- a/tests/unit/unit-runtime-settings.cpp
+++ b/tests/unit/unit-runtime-settings.cpp
@@ -201,7 +201,9 @@
     EXPECT_EQ(result.agent->cold.factor, 1.5);
     EXPECT_EQ(result.agent->cold.extra, 5);
     for (const std::string line : {"cold_factor: -1", "cold_factor: .nan", "cold_extra: x", "cold_factor: 1001"}) {
-        EXPECT_THROW(parse_relay_settings(text + "  " + line + "\n", "f"), settings_error) << line;
+        auto bad = text;
+        bad.append("  ").append(line).append("\n");
+        EXPECT_THROW(parse_relay_settings(bad, "f"), settings_error) << line;
     }
 }
 
