Weigh the flows of a host that fails at once as elsewhere

Cause: a host that ends its requests at once with errors seems to have no work, and its open flows to bring none, so that flows gathered there. Change: an open flow counts at least what it brings in the median of the compared hosts. The new test fails with the former code; the 130 tests of placement and agent pass, with the 300 recorded choices.

--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -166,8 +166,20 @@
         std::nth_element(means.begin(), middle, means.end());
         result.mean_us = *middle;
     }
-    if (own.mean_work_us > 0 && own.open_flows > 0) {
-        result.slots_per_flow = own.flow_work / (thousandths * own.open_flows);
+    std::vector<double> flow_slots;
+    const auto add_flow_slots = [&flow_slots](const host_load& it) {
+        if (it.mean_work_us > 0 && it.open_flows > 0) {
+            flow_slots.push_back(it.flow_work / (thousandths * it.open_flows));
+        }
+    };
+    add_flow_slots(own);
+    for (const auto& it : peers) {
+        add_flow_slots(it.load);
+    }
+    if (!flow_slots.empty()) {
+        const auto middle = flow_slots.begin() + static_cast<std::ptrdiff_t>(flow_slots.size() / 2);
+        std::nth_element(flow_slots.begin(), middle, flow_slots.end());
+        result.slots_per_flow = *middle;
     }
     return result;
 }
@@ -180,7 +192,9 @@
     const double requests =
         is_known ? (load.work_us + static_cast<double>(flows_redirected) * load.mean_work_us) / scale.mean_us
                  : load.in_flight + flows_redirected;
-    const double flow_slots = is_known ? load.flow_work / thousandths : scale.slots_per_flow * load.open_flows;
+    // A host that fails requests at once seems fast, and its flows seem to bring little.
+    const double usual_slots = scale.slots_per_flow * load.open_flows;
+    const double flow_slots = is_known ? std::max(load.flow_work / thousandths, usual_slots) : usual_slots;
     const double busy = requests / slots;
     // Requests hardly wait before the last free slots are in use, so the pressure rises late.
     const double wait = busy < 1 ? busy * busy : 1 + queue_slope * (busy - 1);
--- a/tests/unit/unit-relay-work.cpp
+++ b/tests/unit/unit-relay-work.cpp
@@ -205,6 +205,22 @@
     EXPECT_FALSE(redirects(make_load(2, 0, 16'000), make_load(2, 0, 43'000)));
 }
 
+// Guards against a host that fails its requests at once and draws all flows: it has no work, and its flows seem to
+// bring none.
+TEST_F(work_placement_test, flows_of_host_that_fails_at_once_weigh_as_elsewhere)
+{
+    host_load usual{1, 40, 2, true};
+    usual.work_us = 26'000;
+    usual.mean_work_us = 26'000;
+    usual.flow_work = 1000;
+    host_load failing{0, 80, 2, true};
+    failing.mean_work_us = 1'000;
+    failing.flow_work = 10;
+    const std::vector<peer_load> peers{{agent_address(2), failing, true, 0, true},
+                                       {agent_address(3), usual, true, 0, true}};
+    EXPECT_EQ(choose_less_busy(usual, peers, 1), nullptr) << "twice the flows outweigh one request less";
+}
+
 // Guards against a wait by counts: three requests of a dear route outlast a patience that three cheap ones don't.
 TEST_F(work_placement_test, expected_wait_is_work_left)
 {
