--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,12 +18,12 @@
 STATEMENT_HOSTS = [0, 1, 2]
 CUT_OFF = "side-statements-2"
 ROUTE = (ip_number("198.18.0.1"), 443)
-FLOWS = 80
+FLOWS = 160
 TRAFFIC_S = 10.0
 CHANGE_S = 11.3
 CUT_END_S = 12.0
 CONTACT_S = 4.0
-WORK_S = 0.3
+WORK_S = 0.1
 
 
 def configuration(version, service):
@@ -98,7 +98,7 @@
     tasks = []
     for i, flow in enumerate(flows):
         tasks.append(asyncio.create_task(use_flow(flow, i, counts)))
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(0.004)
     await asyncio.gather(*tasks)
     await until(world, CHANGE_S)
     world.store.put("op/config", configuration(8, "statements"))
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -29,6 +29,8 @@
 RESET_WINDOW = 76_800
 READINESS_INTERVAL = 0.5
 HEARTBEAT = 1.2
+HISTORY_S = 20.0
+PAGE_BYTES = 1_000_000
 
 
 def ip_number(text):
@@ -99,27 +101,33 @@
         self.items = {}
         self.events = []
         self.changed = asyncio.Event()
+        self.history_start = 0
+        self.last_answer = None, b""
         self.silent = set()
+        self.waited_at = {}
+
+    def watching(self, within_s):
+        """Names of the machines of which a watch waited for events in the last seconds."""
+        return {name for name, at in self.waited_at.items() if self.world.now() - at < within_s}
 
     def put(self, key, value):
+        """Writes a JSON value, or bytes that are given as base64 text."""
         self.revision += 1
-        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        text = value if isinstance(value, str) else base64.b64encode(json.dumps(value).encode()).decode()
         created = self.items[key]["CreatedRev"] if key in self.items else self.revision
-        item = {"Key": key, "Value": base64.b64encode(raw).decode(), "Revision": self.revision, "CreatedRev": created,
-                "Lease": 0}
+        item = {"Key": key, "Value": text, "Revision": self.revision, "CreatedRev": created, "Lease": 0}
         self.items[key] = item
-        self.events.append(item)
-        self.notify()
+        self.add_event(item)
         return self.revision
 
     def remove(self, key):
         if key in self.items:
             self.revision += 1
             del self.items[key]
-            self.events.append({"Key": key, "Revision": self.revision, "Tombstone": True})
-            self.notify()
+            self.add_event({"Key": key, "Revision": self.revision, "Tombstone": True})
 
-    def notify(self):
+    def add_event(self, event):
+        self.events.append((event["Revision"], time.monotonic(), json.dumps(event)))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -131,7 +139,7 @@
                     request = (await reader.readuntil(b"\r\n\r\n")).decode()
                     path = request.split(" ")[1]
                     status, body = await self.answer(name, path)
-                    raw = json.dumps(body).encode()
+                    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
                     head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(raw)}\r\n\r\n"
                     writer.write(head.encode() + raw)
                     await writer.drain()
@@ -141,6 +149,18 @@
                 writer.close()
         return await asyncio.start_server(serve, ip, port)
 
+    def events_after(self, start):
+        """All events after a revision, or 410 if some are older than the history."""
+        while self.events and time.monotonic() - self.events[0][1] > HISTORY_S:
+            self.history_start = self.events.pop(0)[0]
+        if start < self.history_start:
+            return 410, {}
+        key = (start, self.revision)
+        if self.last_answer[0] != key:
+            listed = ", ".join(text for revision, _, text in self.events if revision > start)
+            self.last_answer = key, f'{{"events": [{listed}], "StoreRevision": {self.revision}}}'.encode()
+        return 200, self.last_answer[1]
+
     async def answer(self, name, path):
         await asyncio.sleep(0.004)
         while name in self.silent:
@@ -150,21 +170,27 @@
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/-/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query.get("Prefix", "")) and k > query.get("after", ""))
-            page = keys[:500]
+            page, size = [], 0
+            for key in keys[:500]:
+                if page and size + len(self.items[key]["Value"]) > PAGE_BYTES:
+                    break
+                page.append(key)
+                size += len(self.items[key]["Value"])
             return 200, {"items": [self.items[k] for k in page], "HasMore": len(page) < len(keys),
                          "StoreRevision": self.revision}
         if url.path == "/-/kv-watch":
             start, deadline = int(query["after"]), time.monotonic() + int(query.get("WaitMs", "0")) / 1000
             while self.revision <= start and time.monotonic() < deadline:
                 changed = self.changed
+                if deadline - time.monotonic() > 0.5:
+                    self.waited_at[name] = self.world.now()
                 try:
                     await asyncio.wait_for(changed.wait(), max(0.001, deadline - time.monotonic()))
                 except asyncio.TimeoutError:
                     pass
             if name in self.silent:
                 await asyncio.sleep(3600)
-            return 200, {"events": [it for it in self.events if it["Revision"] > start],
-                         "StoreRevision": self.revision}
+            return self.events_after(start)
         return 404, {}
 
 
@@ -472,6 +498,7 @@
         self.router = Router(self)
         self.pick_addresses()
         self.on_open_flow_reset = lambda flow, holder: None
+        self.slowest = 0.0
         atexit.register(self.close)
 
     def pick_addresses(self):
@@ -503,6 +530,13 @@
         self.violations.append(text)
         self.note("VIOLATION", text=text)
 
+    async def watch_turns(self):
+        """Measures how late the loop of the stand-ins is, which must not be what a case shows."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.01)
+            self.slowest = max(self.slowest, time.monotonic() - before - 0.01)
+
     async def start_store_for(self, name, last):
         await self.store.listen(name, self.ip(last), self.store_port)
 
