--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,6 +17,8 @@
 LEDGER_HOSTS = [0, 0, 0, 1, 1, 2, 2]
 STATEMENT_HOSTS = [0, 1, 2]
 EDGE = "edge-1"
+FORMER_SERVICE = "statements"
+NEW_SERVICE = "ledger"
 ROUTE = (ip_number("198.18.0.1"), 443)
 FLOWS = 200
 REFUSAL_S = 9.0
@@ -45,8 +47,8 @@
 def machines_to_refuse(world, agents):
     """The processes that watch the store for the others, one edge machine, and machines of the old service beside it."""
     result = sorted(world.store.watching(3.0))[:REFUSED_MACHINES - 1] + [EDGE]
-    own_zone = [name for name, zone, _, service in agents if zone == ZONES[0] and service == "ledger"]
-    result += [it for it in own_zone if it not in result]
+    # The one in the zone of the edge machine first.
+    result += [name for name, _, _, service in agents if service == FORMER_SERVICE and name not in result]
     return result[:REFUSED_MACHINES]
 
 
@@ -68,7 +70,7 @@
         agents.append((f"side-ledger-{i + 1}", ZONES[zone], 50 + i, "ledger"))
     for i, zone in enumerate(STATEMENT_HOSTS):
         agents.append((f"side-statements-{i + 1}", ZONES[zone], 70 + i, "statements"))
-    world.store.put("op/config", configuration(3, "ledger"))
+    world.store.put("op/config", configuration(3, FORMER_SERVICE))
     for name, zone, last, service in agents:
         world.hosts[name] = Host(world, name, service, zone, world.ip(last))
         await world.hosts[name].start()
@@ -90,9 +92,9 @@
         world.note("the store answers these machines no more", names=",".join(refused))
     refused_at = world.now()
     await asyncio.sleep(0.1)
-    world.store.put("op/config", configuration(8, "statements"))
+    world.store.put("op/config", configuration(8, NEW_SERVICE))
     changed_at = world.now()
-    world.note("configuration acknowledged", version=8, service="statements")
+    world.note("configuration acknowledged", version=8, service=NEW_SERVICE)
 
     await until(world, changed_at + OPEN_S)
     flows = []
@@ -122,7 +124,7 @@
     world.signal(EDGE, signal.SIGTERM)
     await until(world, changed_at + LAST_USE_S)
     held = [it for it in flows if any(host.has_open(it.id) for host in world.hosts.values())]
-    at_old = [it for it in held if any(host.has_open(it.id) and host.service == "ledger"
+    at_old = [it for it in held if any(host.has_open(it.id) and host.service == FORMER_SERVICE
                                        for host in world.hosts.values())]
     world.note("last requests begin", open_flows=len(held), at_old_service=len(at_old))
 
