--- a/review/10/case.py
+++ b/review/10/case.py
@@ -15,7 +15,7 @@
 ENTRIES = [0, 0, 1, 1, 2]
 LEDGER_HOSTS = [0, 0, 0, 1, 1, 2, 2]
 STATEMENT_HOSTS = [0, 1, 2]
-ROUTES = {"ledger": (ip_number("198.18.0.1"), 443), "statements": (ip_number("198.18.0.2"), 443)}
+ROUTES = {"ledger": (ip_number("127.198.0.1"), 443), "statements": (ip_number("127.198.0.2"), 443)}
 TRAFFIC_S = 10.0
 END_S = 25.0
 DEADLINE_S = 3.0
@@ -23,7 +23,7 @@
 
 
 def configuration():
-    routes = [{"Name": name, "Host": f"198.18.0.{i + 1}", "Prefix": "/443/", "Service": name, "Type": "idempotent",
+    routes = [{"Name": name, "Host": f"127.198.0.{i + 1}", "Prefix": "/443/", "Service": name, "Type": "idempotent",
                "TimeoutMs": 3000, "TargetLatencyMs": 200, "Priority": 2} for i, name in enumerate(ROUTES)]
     return {"Version": 3, "Routes": routes,
             "Services": [{"Name": name, "HealthCheckPath": "/health", "MaxConnections": 2000} for name in ROUTES],
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 ENTRIES = [0, 0, 1, 1, 2]
 LEDGER_HOSTS = [0, 0, 0, 1, 1, 2, 2]
 STATEMENT_HOSTS = [0, 1, 2]
-ROUTE = (ip_number("198.18.0.1"), 443)
+ROUTE = (ip_number("127.198.0.1"), 443)
 FLOWS = 120
 FORMER_IDLE_MS = 6000
 IDLE_MS = 15_000
@@ -26,7 +26,7 @@
 
 def configuration(version, idle_ms):
     return {"Version": version,
-            "Routes": [{"Name": "feed", "Host": "198.18.0.1", "Prefix": "/443/", "Service": "ledger",
+            "Routes": [{"Name": "feed", "Host": "127.198.0.1", "Prefix": "/443/", "Service": "ledger",
                         "Type": "idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 200, "Priority": 2}],
             "Services": [{"Name": "ledger", "HealthCheckPath": "/health", "MaxConnections": 2000},
                          {"Name": "statements", "HealthCheckPath": "/health", "MaxConnections": 2000}],
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,7 +19,7 @@
 EDGE = "edge-1"
 FORMER_SERVICE = "statements"
 NEW_SERVICE = "ledger"
-ROUTE = (ip_number("198.18.0.1"), 443)
+ROUTE = (ip_number("127.198.0.1"), 443)
 FLOWS = 200
 REFUSAL_S = 9.0
 REFUSED_MACHINES = 5  # 0.35 of 15
@@ -33,7 +33,7 @@
 
 def configuration(version, service):
     return {"Version": version,
-            "Routes": [{"Name": "feed", "Host": "198.18.0.1", "Prefix": "/443/", "Service": service,
+            "Routes": [{"Name": "feed", "Host": "127.198.0.1", "Prefix": "/443/", "Service": service,
                         "Type": "idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 200, "Priority": 2}],
             "Services": [{"Name": "ledger", "HealthCheckPath": "/health", "MaxConnections": 2000},
                          {"Name": "statements", "HealthCheckPath": "/health", "MaxConnections": 2000}],
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -500,6 +501,8 @@
         self.on_open_flow_reset = lambda flow, holder: None
         self.slowest = 0.0
         atexit.register(self.close)
+        # Ends the processes under test also if the case itself is ended.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     def pick_addresses(self):
         """Chooses a loopback network and ports on which nothing else listens."""
