Tell the entries of hosts from those of other programs

Cause: fleet_view kept one entry for an IP address, the one born last, whatever its service, and the decoder dropped the port. An agent took that entry for its own host's: state, slots, warm-up time and zone.

Ruled out: the entry's choice of a host, which goes by service; load reports and the limit of cold hosts, since nothing was loaded or cold.

Fix: the view knows the services of the configuration, which travel with the routes (all in a whole view, those added and removed in a difference), and the port of each entry. An address belongs to the entry with the own host's port, then to one of a configured service, then to the latest. Services that only a route or its history names count as configured; where none are known (an earlier build), all do.

Same cause on related paths: such entries were candidates for readers; with 40 of them all processes read the store. They made a host that had left seem present to an entry instance, and were asked for flows of routes without hosts. An agent whose host's address a host of another service has taken over no longer finds an own host.

--- a/include/daisydoor/relay/fleet.hpp
+++ b/include/daisydoor/relay/fleet.hpp
@@ -64,6 +64,8 @@
     std::string availability_zone;
     /// Address of the host and of its agent.
     ipv4 address{};
+    /// Port at which the host receives packets from its agent; 0 if it is not known.
+    std::uint16_t port = 0;
     /// Number of requests that the host processes at the same time.
     std::uint32_t slots = 0;
     host_state state = host_state::ready;
@@ -78,7 +80,7 @@
     friend bool operator==(const host& a, const host& b) noexcept
     {
         return a.id == b.id && a.service == b.service && a.availability_zone == b.availability_zone &&
-               a.address == b.address && a.slots == b.slots && a.state == b.state &&
+               a.address == b.address && a.port == b.port && a.slots == b.slots && a.state == b.state &&
                a.cold_remaining == b.cold_remaining && a.born == b.born;
     }
 };
@@ -141,6 +143,8 @@
     core::milliseconds idle_timeout{0};
     /// Services without one have no limit.
     std::vector<cold_rate> cold_rates;
+    /// Names of all services, in ascending order; empty if they are not known.
+    std::vector<std::string> services = {};
 };
 
 /// @brief Difference between two versions of the routes; only a process that has the version `base` can apply it.
@@ -154,6 +158,10 @@
     core::milliseconds idle_timeout{0};
     /// All of them, as in route_set.
     std::vector<cold_rate> cold_rates;
+    /// Whether the services below are known; a process of an earlier build does not tell them.
+    bool has_services = false;
+    std::vector<std::string> added_services = {};
+    std::vector<std::string> removed_services = {};
 };
 
 /// @brief A host's entry was removed, or no longer describes a host.
--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -38,6 +38,8 @@
     /// is written again.
     std::optional<core::time_point> disputed_until;
     bool zone_evacuated = false;
+    /// Whether the configuration or a route names the host's service. If not, the entry may be another writer's.
+    bool service_configured = true;
     /// End of the warm-up time, by this process's clock; the host is cold until then.
     core::time_point cold_until;
 
@@ -47,6 +49,15 @@
     [[nodiscard]] bool accepts_new_flows() const noexcept { return is_staying() && !zone_evacuated; }
 };
 
+/// @brief The host beside a process, as the process's settings name it.
+struct own_host
+{
+    ipv4 address{};
+    /// Port at which the host receives packets; 0 if it is not known.
+    std::uint16_t port = 0;
+    std::string service;
+};
+
 /// @brief A route with its services resolved.
 struct known_route
 {
@@ -108,6 +119,9 @@
 /// Load pattern: the platform may drop the entries of live hosts during an outage. A ready host whose entry disappears
 /// within `lapsed_entry_grace` of the platform's return stays in use until that time is over.
 ///
+/// Load pattern: other programs on the hosts' machines write entries of their own. An entry whose service no
+/// configuration names is never preferred to a host's own at the same address.
+///
 /// After a return from an older copy, the hosts' own counts decide: an entry that a host wrote before the one in the
 /// view changes nothing, and a host that had left is not used before its entry would have been removed again.
 class fleet_view
@@ -116,6 +130,9 @@
     explicit fleet_view(std::string own_zone, core::milliseconds host_heartbeat = default_host_heartbeat,
                         route_history history = route_history());
 
+    /// @brief Names the host beside this process, which decides which entry at its address is the host's.
+    void set_own_host(own_host value);
+
     /// @brief Applies an update; values older than the view's are ignored. A whole set of routes is older if its
     /// version is, wherever in the store's history the update belongs.
     view_change apply(const fleet_update& update, core::time_point now);
@@ -168,9 +185,16 @@
     /// @brief Hosts of a service, in no particular order; empty for an unknown service.
     [[nodiscard]] const std::vector<const known_host*>& hosts_of(service_index service) const;
 
-    /// @brief The newest incarnation at an address, or nullptr.
+    /// @brief The newest incarnation at an address, or nullptr. An entry of a service that is not configured counts
+    /// only if there is no other. At the address of this process, only the entry of its own host counts.
     [[nodiscard]] const known_host* find_host(ipv4 address) const;
 
+    /// @brief Whether the host at an address may still be there: an entry of another writer does not stand for it.
+    [[nodiscard]] bool may_have_host(ipv4 agent, core::time_point now) const;
+
+    /// @brief Number of entries whose service neither the configuration nor a route names.
+    [[nodiscard]] std::size_t unconfigured_host_count() const;
+
     [[nodiscard]] std::optional<service_index> find_service(const std::string& name) const;
     /// @brief All known hosts, by id.
     [[nodiscard]] const std::map<std::string, known_host>& hosts() const noexcept { return m_hosts; }
@@ -249,12 +273,17 @@
     bool apply_delta(const route_delta& value, relay::revision at, bool is_gapless, core::time_point now);
     void record_lost_services(const known_route& before, const known_route* after, core::time_point now);
     void refresh_former_services();
-    [[nodiscard]] std::vector<route> sorted_routes() const;
-    void append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to, route_version routes_before,
-                       const std::vector<route>& before);
+    [[nodiscard]] route_set sorted_routes() const;
+    /// @param before the routes before the changes, in order
+    void append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to, const route_set& before);
     void index_hosts();
+    /// @brief Which services the configuration, a route or the history names, by index.
+    [[nodiscard]] std::vector<bool> configured_services() const;
+    /// @brief Whether an entry, rather than another one with its address, describes the host at this address.
+    [[nodiscard]] bool is_preferred(const known_host& a, const known_host& b) const noexcept;
 
     std::string m_own_zone;
+    std::optional<own_host> m_own_host;
     core::milliseconds m_host_heartbeat;
     store_position m_position;
     bool m_has_changed_era = false;
@@ -265,6 +294,8 @@
     relay::revision m_routes_revision{};
     core::milliseconds m_idle_timeout{0};
     std::vector<cold_rate> m_cold_rates;
+    /// Services of the configuration, in ascending order; empty if they are not known.
+    std::vector<std::string> m_services;
     std::optional<core::time_point> m_regained_at;
     std::unordered_map<std::string, service_index> m_service_indices;
     std::unordered_map<route_key, known_route> m_routes;
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -43,7 +43,7 @@
     const auto zone = builder.CreateString(value.availability_zone);
     return wire::Createfleet_host(builder, id, service, zone, static_cast<std::uint32_t>(value.address), value.slots,
                                   value.state == host_state::draining, to_wire(value.cold_remaining), value.born,
-                                  value.sequence);
+                                  value.sequence, value.port);
 }
 
 flatbuffers::Offset<wire::fleet_route> pack(flatbuffers::FlatBufferBuilder& builder, const route& value)
@@ -57,11 +57,38 @@
                                    to_wire(value.target_latency), value.priority, builder.CreateVector(services));
 }
 
-flatbuffers::Offset<wire::fleet_routes> pack_routes(flatbuffers::FlatBufferBuilder& builder, route_version version,
-                                                    route_version base, core::milliseconds idle_timeout,
-                                                    const std::vector<route>& changed,
-                                                    const std::vector<route>& dropped,
-                                                    const std::vector<cold_rate>& rates)
+/// Names of services in a message; absent if the sender does not know them.
+struct packed_services
+{
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> named;
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed;
+};
+
+packed_services pack_services(flatbuffers::FlatBufferBuilder& builder, const route_set& value)
+{
+    packed_services result;
+    if (!value.services.empty()) {
+        result.named = builder.CreateVectorOfStrings(value.services);
+    }
+    return result;
+}
+
+packed_services pack_services(flatbuffers::FlatBufferBuilder& builder, const route_delta& value)
+{
+    packed_services result;
+    if (value.has_services) {
+        result.named = builder.CreateVectorOfStrings(value.added_services);
+        if (!value.removed_services.empty()) {
+            result.removed = builder.CreateVectorOfStrings(value.removed_services);
+        }
+    }
+    return result;
+}
+
+flatbuffers::Offset<wire::fleet_routes>
+pack_routes(flatbuffers::FlatBufferBuilder& builder, route_version version, route_version base,
+            core::milliseconds idle_timeout, const std::vector<route>& changed, const std::vector<route>& dropped,
+            const std::vector<cold_rate>& rates, const packed_services& services)
 {
     // Nothing is sent where no service publishes one.
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::fleet_cold_rate>>> packed_rates;
@@ -87,7 +114,8 @@
     const auto packed_routes = builder.CreateVector(routes);
     const auto packed_keys = builder.CreateVector(keys);
     return wire::Createfleet_routes(builder, static_cast<std::uint64_t>(version), static_cast<std::uint64_t>(base),
-                                    to_wire(idle_timeout), packed_routes, packed_keys, packed_rates);
+                                    to_wire(idle_timeout), packed_routes, packed_keys, packed_rates, services.named,
+                                    services.removed);
 }
 
 flatbuffers::Offset<wire::fleet_change> pack(flatbuffers::FlatBufferBuilder& builder, const fleet_change& value)
@@ -103,7 +131,8 @@
     if (const auto* routes = std::get_if<route_set>(&value.value)) {
         return wire::Createfleet_change(builder, revision, 0, 0,
                                         pack_routes(builder, routes->version, route_version{}, routes->idle_timeout,
-                                                    routes->routes, {}, routes->cold_rates));
+                                                    routes->routes, {}, routes->cold_rates,
+                                                    pack_services(builder, *routes)));
     }
     if (const auto* evacuated = std::get_if<zone_evacuated>(&value.value)) {
         return wire::Createfleet_change(builder, revision, 0, 0, 0, 0, 0,
@@ -116,7 +145,7 @@
     const auto& delta = std::get<route_delta>(value.value);
     return wire::Createfleet_change(builder, revision, 0, 0,
                                     pack_routes(builder, delta.version, delta.base, delta.idle_timeout, delta.changed,
-                                                delta.dropped, delta.cold_rates));
+                                                delta.dropped, delta.cold_rates, pack_services(builder, delta)));
 }
 
 flatbuffers::Offset<wire::fleet_past> pack(flatbuffers::FlatBufferBuilder& builder, const routes_past& value)
@@ -154,6 +183,7 @@
     result.cold_remaining = core::milliseconds(value.cold_remaining_ms());
     result.born = value.born();
     result.sequence = value.sequence();
+    result.port = value.port();
     return result;
 }
 
@@ -172,6 +202,17 @@
     return result;
 }
 
+std::vector<std::string> from_wire(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* value)
+{
+    std::vector<std::string> result;
+    if (value != nullptr) {
+        for (const auto* it : *value) {
+            result.push_back(it->str());
+        }
+    }
+    return result;
+}
+
 void add_routes(const wire::fleet_routes& value, fleet_change& change)
 {
     std::vector<route> routes;
@@ -187,11 +228,15 @@
         }
     }
     if (value.base_version() == 0) {
-        change.value.emplace<route_set>(route_set{version, std::move(routes), idle_timeout, std::move(rates)});
+        change.value.emplace<route_set>(
+            route_set{version, std::move(routes), idle_timeout, std::move(rates), from_wire(value.services())});
         return;
     }
     route_delta delta{
         route_version{value.base_version()}, version, std::move(routes), {}, idle_timeout, std::move(rates)};
+    delta.has_services = value.services() != nullptr;
+    delta.added_services = from_wire(value.services());
+    delta.removed_services = from_wire(value.removed_services());
     if (value.dropped() != nullptr) {
         for (const auto* it : *value.dropped()) {
             route key;
--- a/src/relay/entry_relay.cpp
+++ b/src/relay/entry_relay.cpp
@@ -54,7 +54,7 @@
     }
     if (const auto it = m_flows.find(value.flow); it != m_flows.end()) {
         forward(it->second, bytes, now, out);
-        if (m_view.find_host(it->second.agent) != nullptr) {
+        if (m_view.may_have_host(it->second.agent, now)) {
             return;
         }
         // The host is no longer in the view: another agent gets the packet too, since the flow may have been found
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -144,11 +144,10 @@
         learn_past(update.past, now);
         return result;
     }
-    const auto version_before = m_version;
     const bool has_routes = std::any_of(update.changes.begin(), update.changes.end(), [](const fleet_change& it) {
         return std::holds_alternative<route_set>(it.value);
     });
-    const auto routes_before = has_routes ? sorted_routes() : std::vector<route>();
+    const auto routes_before = has_routes ? sorted_routes() : route_set();
     const bool is_first = m_position == store_position{};
     // An update is applied as a whole or not at all: the position tells peers what the view has.
     if (has_unknown_base(update)) {
@@ -173,7 +172,7 @@
         m_log_start = update.revision;
     } else {
         // Subscribers get the difference between the eras at once.
-        append_to_log(result.is_new_era ? applied : update.changes, update.revision, version_before, routes_before);
+        append_to_log(result.is_new_era ? applied : update.changes, update.revision, routes_before);
         std::move(removals.begin(), removals.end(), std::back_inserter(m_log));
     }
     note_evacuations(update, is_newer_whole);
@@ -242,6 +241,13 @@
     whole.version = value.version;
     whole.idle_timeout = value.idle_timeout;
     whole.cold_rates = value.cold_rates;
+    if (value.has_services && !m_services.empty()) {
+        std::vector<std::string> kept;
+        std::set_difference(m_services.begin(), m_services.end(), value.removed_services.begin(),
+                            value.removed_services.end(), std::back_inserter(kept));
+        std::set_union(kept.begin(), kept.end(), value.added_services.begin(), value.added_services.end(),
+                       std::back_inserter(whole.services));
+    }
     const auto is_replaced = [&value](const route& it) {
         const auto is_same = [&it](const route& other) { return other.address == it.address && other.port == it.port; };
         return std::any_of(value.changed.begin(), value.changed.end(), is_same) ||
@@ -273,6 +279,10 @@
         // A process of an earlier build told the version without them.
         m_cold_rates = value.cold_rates;
     }
+    if (value.version == m_version && m_services.empty() && !value.services.empty()) {
+        m_services = value.services;
+        index_hosts();
+    }
     if (value.version <= m_version) {
         return false;
     }
@@ -298,11 +308,12 @@
         record_lost_services(old, nullptr, now);
         m_dropped_routes.insert(key);
     }
-    refresh_former_services();
     m_version = value.version;
     m_routes_revision = at;
     m_idle_timeout = value.idle_timeout;
     m_cold_rates = value.cold_rates;
+    m_services = value.services;
+    refresh_former_services();
     return true;
 }
 
@@ -333,6 +344,8 @@
             it->second.former_services.push_back(intern(lost.service));
         }
     }
+    // Which services are named has changed with the routes.
+    index_hosts();
 }
 
 void fleet_view::learn_past(const routes_past& value, core::time_point now)
--- a/src/relay/fleet_view_hosts.cpp
+++ b/src/relay/fleet_view_hosts.cpp
@@ -177,20 +177,77 @@
     return result;
 }
 
+std::vector<bool> fleet_view::configured_services() const
+{
+    const bool are_known = !m_services.empty();
+    std::vector<bool> result(m_service_indices.size(), !are_known);
+    if (!are_known) {
+        return result;
+    }
+    for (const auto& [name, index] : m_service_indices) {
+        result[static_cast<std::size_t>(index)] = std::binary_search(m_services.begin(), m_services.end(), name);
+    }
+    // A service that the configuration has dropped may still have open flows.
+    for (const auto& [key, route] : m_routes) {
+        for (const auto& it : route.services) {
+            result[static_cast<std::size_t>(it.service)] = true;
+        }
+        for (const auto it : route.former_services) {
+            result[static_cast<std::size_t>(it)] = true;
+        }
+    }
+    return result;
+}
+
+bool fleet_view::is_preferred(const known_host& a, const known_host& b) const noexcept
+{
+    const auto is_at_own_port = [this](const host& it) { return m_own_host && it.port == m_own_host->port; };
+    return std::make_tuple(is_at_own_port(a.value), a.service_configured, a.value.born) >
+           std::make_tuple(is_at_own_port(b.value), b.service_configured, b.value.born);
+}
+
 void fleet_view::index_hosts()
 {
+    const auto is_configured = configured_services();
     m_by_service.assign(m_service_indices.size(), {});
     m_by_address.clear();
-    for (const auto& [id, entry] : m_hosts) {
+    for (auto& [id, entry] : m_hosts) {
+        entry.service_configured = is_configured.at(static_cast<std::size_t>(entry.service));
         if (entry.disputed_until) {
             continue;
         }
         m_by_service.at(static_cast<std::size_t>(entry.service)).push_back(&entry);
-        auto& newest = m_by_address[static_cast<std::uint32_t>(entry.value.address)];
-        if (newest == nullptr || newest->value.born < entry.value.born) {
-            newest = &entry;
+        auto& preferred = m_by_address[static_cast<std::uint32_t>(entry.value.address)];
+        if (preferred == nullptr || is_preferred(entry, *preferred)) {
+            preferred = &entry;
         }
     }
+    if (!m_own_host) {
+        return;
+    }
+    // A host of another service has taken the address over: this process's host has ended.
+    const auto own = m_by_address.find(static_cast<std::uint32_t>(m_own_host->address));
+    if (own != m_by_address.end() && own->second->value.service != m_own_host->service) {
+        m_by_address.erase(own);
+    }
+}
+
+void fleet_view::set_own_host(own_host value)
+{
+    m_own_host = std::move(value);
+    index_hosts();
+}
+
+std::size_t fleet_view::unconfigured_host_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto& it) { return !it.second.service_configured; }));
+}
+
+bool fleet_view::may_have_host(ipv4 agent, core::time_point now) const
+{
+    const auto* host = find_host(agent);
+    return host != nullptr && (host->service_configured || !knows_former_services(now));
 }
 
 const std::vector<const known_host*>& fleet_view::hosts_of(service_index service) const
--- a/src/relay/fleet_view_log.cpp
+++ b/src/relay/fleet_view_log.cpp
@@ -34,20 +34,27 @@
     return std::tie(a.address, a.port) < std::tie(b.address, b.port);
 }
 
-/// @param before sorted routes of the version `base`
-route_delta make_delta(route_version base, const std::vector<route>& before, const route_set& after)
+/// @param before with routes in order
+route_delta make_delta(const route_set& before, const route_set& after)
 {
-    route_delta result{base, after.version, {}, {}, after.idle_timeout, after.cold_rates};
+    route_delta result{before.version, after.version, {}, {}, after.idle_timeout, after.cold_rates};
     auto routes = after.routes;
     std::sort(routes.begin(), routes.end(), is_route_before);
-    std::set_difference(before.begin(), before.end(), routes.begin(), routes.end(), std::back_inserter(result.dropped),
-                        is_route_before);
+    std::set_difference(before.routes.begin(), before.routes.end(), routes.begin(), routes.end(),
+                        std::back_inserter(result.dropped), is_route_before);
     for (const auto& it : routes) {
-        const auto old = std::lower_bound(before.begin(), before.end(), it, is_route_before);
-        if (old == before.end() || !(*old == it)) {
+        const auto old = std::lower_bound(before.routes.begin(), before.routes.end(), it, is_route_before);
+        if (old == before.routes.end() || !(*old == it)) {
             result.changed.push_back(it);
         }
     }
+    result.has_services = !before.services.empty() && !after.services.empty();
+    if (result.has_services) {
+        std::set_difference(after.services.begin(), after.services.end(), before.services.begin(),
+                            before.services.end(), std::back_inserter(result.added_services));
+        std::set_difference(before.services.begin(), before.services.end(), after.services.begin(),
+                            after.services.end(), std::back_inserter(result.removed_services));
+    }
     return result;
 }
 
@@ -60,8 +67,7 @@
     m_log_start = update.revision;
 }
 
-void fleet_view::append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to,
-                               route_version routes_before, const std::vector<route>& before)
+void fleet_view::append_to_log(const std::vector<fleet_change>& changes, relay::revision up_to, const route_set& before)
 {
     std::vector<const fleet_change*> newer;
     for (const auto& change : changes) {
@@ -76,8 +82,8 @@
     for (const auto* change : newer) {
         m_log.push_back(*change);
         if (const auto* routes = std::get_if<route_set>(&change->value);
-            routes != nullptr && routes_before != route_version{} && routes->version == m_version) {
-            m_log.back().value.emplace<route_delta>(make_delta(routes_before, before, *routes));
+            routes != nullptr && before.version != route_version{} && routes->version == m_version) {
+            m_log.back().value.emplace<route_delta>(make_delta(before, *routes));
         }
     }
     while (m_log.size() > max_logged_changes) {
@@ -126,6 +132,7 @@
         routes.version = m_version;
         routes.idle_timeout = m_idle_timeout;
         routes.cold_rates = m_cold_rates;
+        routes.services = m_services;
         for (const auto& [key, entry] : m_routes) {
             routes.routes.push_back(entry.value);
         }
@@ -148,14 +155,16 @@
     return result;
 }
 
-std::vector<route> fleet_view::sorted_routes() const
+route_set fleet_view::sorted_routes() const
 {
-    std::vector<route> result;
-    result.reserve(m_routes.size());
+    route_set result;
+    result.version = m_version;
+    result.services = m_services;
+    result.routes.reserve(m_routes.size());
     for (const auto& [key, entry] : m_routes) {
-        result.push_back(entry.value);
+        result.routes.push_back(entry.value);
     }
-    std::sort(result.begin(), result.end(), is_route_before);
+    std::sort(result.routes.begin(), result.routes.end(), is_route_before);
     return result;
 }
 
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -141,7 +141,9 @@
     if (result == nullptr) {
         // Any agent can search for the flow.
         for (const auto& [id, it] : view.hosts()) {
-            consider_host(it);
+            if (it.service_configured) {
+                consider_host(it);
+            }
         }
     }
     return result;
--- a/src/relay/view_sync.cpp
+++ b/src/relay/view_sync.cpp
@@ -299,7 +299,7 @@
     std::map<std::string, std::vector<reader_candidate>> zones;
     std::vector<reader_candidate> all;
     for (const auto& [id, host] : m_view.hosts()) {
-        if (host.is_staying()) {
+        if (host.is_staying() && host.service_configured) {
             const reader_candidate value{core::rendezvous_distance(reader_key, host.rendezvous_key),
                                          host.value.address};
             zones[host.value.availability_zone].push_back(value);
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -31,6 +31,7 @@
         {"flows", "", static_cast<double>(m_entry ? m_entry->flow_count() : m_agent->flow_count()), false},
         {"zones_suspected", "", static_cast<double>(m_entry ? m_entry->suspected_zones().size() : 0), false},
         {"hosts", "", static_cast<double>(m_view.hosts().size()), false},
+        {"hosts_of_unconfigured_services", "", static_cast<double>(m_view.unconfigured_host_count()), false},
         {"view_age_ms", "", static_cast<double>(m_sync.age(core::clock::now()).count()), false},
         {"former_services", "", static_cast<double>(m_view.history().former().size()), false},
         {"routes_past_ms", "", static_cast<double>(m_view.history().complete_for(core::clock::now()).count()), false},
@@ -75,8 +76,10 @@
     for (const auto& [id, entry] : m_view.hosts()) {
         result["hosts"].push_back({{"id", id},
                                    {"service", entry.value.service},
+                                   {"service_configured", entry.service_configured},
                                    {"zone", entry.value.availability_zone},
                                    {"address", ip_of(relay::endpoint_of(entry.value.address, 0))},
+                                   {"port", entry.value.port},
                                    {"slots", entry.value.slots},
                                    {"state", relay::host_state_names.at(static_cast<std::size_t>(entry.value.state))},
                                    {"lapsing", entry.grace_ends_at.has_value()},
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -107,6 +107,7 @@
 {
     if (process_settings.agent) {
         m_host_address = relay::ipv4_of(process_settings.agent->host);
+        m_view.set_own_host({m_own_address, process_settings.agent->host.port, process_settings.agent->service});
         m_agent = std::make_unique<relay::agent_relay>(agent_options(process_settings, m_own_address), m_view);
         m_host_packets = std::make_unique<packet_socket>(
             owner.base(), process_settings.agent->outbound,
--- a/tests/process/unit-process-relay.cpp
+++ b/tests/process/unit-process-relay.cpp
@@ -188,6 +188,18 @@
     finish();
 }
 
+// Guards against a fleet that refuses every request since another program beside the hosts writes entries of its own.
+TEST_F(relay_process_test, entries_of_another_service_close_no_host)
+{
+    start();
+    m_world->write_entries_beside_hosts();
+    m_world->run(core::milliseconds(1500));
+    const auto failed = m_world->observations().failed;
+    EXPECT_GT(answered_in(core::milliseconds(3000)), 50U);
+    EXPECT_EQ(m_world->observations().failed, failed);
+    finish();
+}
+
 // Guards against new flows at a draining host.
 TEST_F(relay_process_test, draining_host_gets_no_new_flows)
 {
--- a/tests/standins/relay/world.cpp
+++ b/tests/standins/relay/world.cpp
@@ -27,6 +27,8 @@
 constexpr int peer_port = 2;
 constexpr int app_port = 3;
 constexpr int link_port = 3;
+/// Offset from the host's port to the one that another program beside it publishes.
+constexpr int other_program_port_offset = 40;
 
 constexpr std::uint32_t service_ip = 0xc6120001;
 constexpr std::uint16_t service_port = 443;
@@ -150,6 +152,25 @@
     m_store->put(key, m_published[key]);
 }
 
+void world::write_entries_beside_hosts()
+{
+    for (int i = 0; i < m_options.hosts; ++i) {
+        const auto index = static_cast<std::size_t>(i);
+        auto program = m_hosts[index]->options().app;
+        program.port = static_cast<std::uint16_t>(program.port + other_program_port_offset);
+        const json value{{"Service", "other-product"},
+                         {"Address", core::to_string(program)},
+                         {"Zone", zone_of(first_host + i)},
+                         {"Version", "v7"},
+                         {"Concurrency", 5},
+                         {"State", "draining"},
+                         {"ColdRemainingMs", 0},
+                         {"Sequence", 1},
+                         {"born", 1'800'000'000'000}};
+        m_store->put(std::string(hosts_prefix) + "other-" + m_hosts[index]->options().id, value.dump());
+    }
+}
+
 void world::publish(bool with_second_route)
 {
     json routes = json::array();
@@ -168,8 +189,12 @@
         add(second_port);
     }
     m_version += 3;
-    m_published[configuration_key] =
-        json{{"Version", m_version}, {"Routes", routes}, {"Limits", {{"IdleTimeoutMs", 15000}}}}.dump();
+    m_published[configuration_key] = json{
+        {"Version", m_version},
+        {"Routes", routes},
+        {"Services", {{{"Name", service_name}, {"HealthCheckPath", "/health"}, {"MaxConnections", 2000}}}},
+        {"Limits",
+         {{"IdleTimeoutMs", 15000}}}}.dump();
     m_store->put(configuration_key, m_published[configuration_key]);
 }
 
--- a/tests/standins/relay/world.hpp
+++ b/tests/standins/relay/world.hpp
@@ -67,6 +67,9 @@
     /// @brief Writes an entry of another writer among those of the hosts.
     void write_odd_entry(const std::string& value) { m_store->put("servers/odd", value); }
 
+    /// @brief Writes entries of another program that runs beside the hosts, has its own service and is leaving.
+    void write_entries_beside_hosts();
+
     /// @brief Ends all faults and checks that requests are answered again.
     void recover();
     /// @brief Stops the clients.
--- a/tests/unit/relay_fixture.hpp
+++ b/tests/unit/relay_fixture.hpp
@@ -105,11 +105,12 @@
         view.apply(update, m_now);
     }
 
-    void set_routes(fleet_view& view, std::vector<route> routes)
+    void set_routes(fleet_view& view, std::vector<route> routes, std::vector<std::string> services = {})
     {
         route_set value;
         value.version = route_version{++m_version};
         value.routes = std::move(routes);
+        value.services = std::move(services);
         fleet_update update;
         update.revision = revision{++m_revision};
         update.changes.push_back({update.revision, value});
--- a/tests/unit/unit-platform-store.cpp
+++ b/tests/unit/unit-platform-store.cpp
@@ -75,6 +75,7 @@
     EXPECT_EQ(value.id, "i-1");
     EXPECT_EQ(value.service, "huvo11a");
     EXPECT_EQ(value.address, relay::ipv4{0x0a800009});
+    EXPECT_EQ(value.port, 8080);
     EXPECT_EQ(value.slots, 5U);
     EXPECT_EQ(value.cold_remaining.count(), 40);
     EXPECT_EQ(value.born, 1700000000000);
@@ -325,6 +326,7 @@
     ASSERT_EQ(value.cold_rates.size(), 1U);
     EXPECT_EQ(value.cold_rates[0].service, "a");
     EXPECT_EQ(value.cold_rates[0].requests_per_second, 12.5);
+    EXPECT_EQ(value.services, (std::vector<std::string>{"a", "b", "c", "d", "e"}));
     EXPECT_EQ(result.rejected.size(), 2U);
 }
 
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -167,6 +167,20 @@
     EXPECT_EQ(m_reads.size(), 2U);
 }
 
+// Guards against processes that all read the platform since another writer's entries take the places of the readers.
+TEST_F(view_sync_test, entries_of_unconfigured_service_are_no_readers)
+{
+    set_routes(m_platform, {make_route({{"svc", 1}})}, {"svc"});
+    for (std::uint32_t n = 20; n < 60; ++n) {
+        add_host(m_platform, make_host(n, "product", n % 2 == 0 ? "a" : "b"));
+    }
+    run(core::milliseconds(2000));
+    EXPECT_EQ(readers(), 2U);
+    m_reads.clear();
+    run(core::milliseconds(5000));
+    EXPECT_EQ(m_reads.size(), 2U);
+}
+
 // Guards against processes that keep an older configuration.
 TEST_F(view_sync_test, change_reaches_every_process_at_once)
 {
