Discard idle flows by a confirmed idle timeout only

What callers saw: while the store turned some machines away, the operator raised the idle timeout from 6 to 15 s.

The agent beside a host is the only process that knows the flows of that host once it has run for a flow's lifetime, so that the search finds them nowhere.

Ruled out: the entries, which forget flows by the same timeout, since that costs a search only; the search, since nobody knew the flow.

Fix: a flow of the own host is discarded only if it had been idle for longer than the timeout at a moment up to which the view is confirmed. Without a confirmation it stays for a flow's lifetime, which bounds the memory. 2.5 s are added for retransmissions of a packet that the client sent in time, and for the delay of a confirmation. Asking the host about every unknown flow was weighed: it costs every agent that a search asks two datagrams.

--- a/include/daisydoor/relay/agent_relay.hpp
+++ b/include/daisydoor/relay/agent_relay.hpp
@@ -32,6 +32,9 @@
 constexpr core::milliseconds probe_interval{300};
 /// Maximum number of agents to which a new flow is forwarded after the first.
 constexpr std::uint8_t max_hops = 3;
+/// Time beyond the idle timeout for which a flow is kept: a client's packet may be one of several retransmissions, up
+/// to 1.6 s apart, and a confirmation of the view may describe a moment some hundred milliseconds earlier.
+constexpr core::milliseconds idle_flow_slack{2500};
 /// Time for which a lost flow stays in the table, so that its next packets are reset at once.
 constexpr core::milliseconds lost_flow_time{5000};
 
@@ -83,6 +86,12 @@
     /// @param since when the confirming call to the platform began; searches that began later need another
     void on_view_confirmed(core::time_point since, core::time_point now, actions& out);
 
+    /// @brief Sets the time up to which the view is known to have all changes; nullopt if that is not known.
+    ///
+    /// Load pattern: processes that the platform turns away miss a longer idle timeout. Their flows are discarded only
+    /// by an idle timeout that was in force when they had been idle for so long.
+    void set_view_confirmed_at(std::optional<core::time_point> at) noexcept { m_view_confirmed_at = at; }
+
     /// @brief Redirects new flows to peers from now on; open flows stay at the host.
     void start_drain() noexcept { m_draining = true; }
 
@@ -90,6 +99,8 @@
     [[nodiscard]] host_load load() const noexcept { return m_load.own_load(accepts()); }
     [[nodiscard]] const host_work& work() const noexcept { return m_load.work(); }
     [[nodiscard]] const cold_budget& cold() const noexcept { return m_cold; }
+    /// @brief Number of open flows discarded so far since they were idle for too long.
+    [[nodiscard]] std::uint64_t idle_flows_discarded() const noexcept { return m_idle_flows_discarded; }
 
   private:
     enum class flow_phase : std::uint8_t
@@ -236,6 +247,10 @@
     void check_openings(core::time_point now, actions& out);
     void check_unclaimed_flows(core::time_point now);
     void sweep(core::time_point now);
+    /// @brief Whether a flow was idle for longer than the idle timeout allows.
+    [[nodiscard]] bool is_idle_too_long(const flow_record& record, core::time_point now) const;
+    /// @brief Whether the agent's own host may have the flow.
+    [[nodiscard]] static bool may_be_at_host(const flow_record& record) noexcept;
     [[nodiscard]] bool is_abandoned(const flow_key& flow, const flow_record& record, core::time_point now) const;
     [[nodiscard]] bool host_may_have_unknown_flow(core::time_point now) const noexcept;
     [[nodiscard]] bool accepts() const noexcept;
@@ -263,6 +278,8 @@
     std::uint32_t m_unanswered_openings = 0;
     bool m_suspected = false;
     bool m_draining = false;
+    std::optional<core::time_point> m_view_confirmed_at;
+    std::uint64_t m_idle_flows_discarded = 0;
     core::time_point m_next_probe;
     core::time_point m_next_sweep;
     early_openings m_early{agent_opening_age};
--- a/include/daisydoor/relay/view_sync.hpp
+++ b/include/daisydoor/relay/view_sync.hpp
@@ -107,6 +107,8 @@
 
     /// @brief Time since the view was last confirmed; at most 2^32 - 1 ms, which also stands for never.
     [[nodiscard]] core::milliseconds age(core::time_point now) const;
+    /// @brief Time up to which the view has all changes, or nullopt if it was not confirmed.
+    [[nodiscard]] std::optional<core::time_point> confirmed_at() const noexcept { return m_confirmed_at; }
     [[nodiscard]] const std::vector<ipv4>& sources() const noexcept { return m_sources; }
     [[nodiscard]] std::size_t subscriber_count() const noexcept { return m_subscribers.size(); }
 
--- a/src/relay/agent_flows.cpp
+++ b/src/relay/agent_flows.cpp
@@ -1,5 +1,7 @@
 #include "daisydoor/relay/agent_relay.hpp"
 
+#include <algorithm>
+
 namespace daisydoor::relay
 {
 
@@ -30,7 +32,6 @@
 
 void agent_relay::sweep(core::time_point now)
 {
-    const auto idle = m_view.idle_timeout();
     for (auto it = m_flows.begin(); it != m_flows.end();) {
         auto& record = it->second;
         const auto age = now - record.last_activity_at;
@@ -43,7 +44,9 @@
         const bool is_closed = record.client_fin && record.host_fin && age > closed_flow_time;
         const bool is_lost = record.phase == flow_phase::lost && age > lost_flow_time;
         const bool is_stuck = record.phase == flow_phase::opening && age > closed_flow_time;
-        if (is_closed || is_lost || is_stuck || age > idle) {
+        const bool is_idle = is_idle_too_long(record, now);
+        if (is_closed || is_lost || is_stuck || is_idle) {
+            m_idle_flows_discarded += is_idle && is_open(record) ? 1 : 0;
             set_request_pending(it->first, record, false, now);
             set_phase(record, flow_phase::lost, now);
             it = m_flows.erase(it);
@@ -53,6 +56,26 @@
     }
 }
 
+bool agent_relay::may_be_at_host(const flow_record& record) noexcept
+{
+    return record.phase == flow_phase::opening || record.phase == flow_phase::established ||
+           record.phase == flow_phase::probing;
+}
+
+bool agent_relay::is_idle_too_long(const flow_record& record, core::time_point now) const
+{
+    const auto timeout = m_view.idle_timeout();
+    if (!may_be_at_host(record)) {
+        // A search finds the flow again.
+        return now - record.last_activity_at > timeout;
+    }
+    // Only this agent knows that its host has the flow, and the view may lack a longer timeout. An idle flow is not
+    // younger than its idle time.
+    const bool is_expired = now - record.last_activity_at > std::max(timeout, m_options.flow_ttl) + idle_flow_slack;
+    return is_expired ||
+           (m_view_confirmed_at && *m_view_confirmed_at - record.last_activity_at > timeout + idle_flow_slack);
+}
+
 bool agent_relay::is_abandoned(const flow_key& flow, const flow_record& record, core::time_point now) const
 {
     if (!record.request_pending || m_admission.is_waiting(flow)) {
--- a/src/runtime/relay_report.cpp
+++ b/src/runtime/relay_report.cpp
@@ -43,6 +43,7 @@
     }
     if (m_agent) {
         const auto& work = m_agent->work();
+        message.samples.push_back({"idle_flows_discarded", "", static_cast<double>(m_agent->idle_flows_discarded())});
         message.samples.push_back({"work_left_ms", "", work.work_left_ms(), false});
         message.samples.push_back({"mean_work_ms", "", work.mean_ms(), false});
         message.samples.push_back({"slots_per_idle_flow", "", work.slots_per_idle_flow(), false});
--- a/src/runtime/relay_task.cpp
+++ b/src/runtime/relay_task.cpp
@@ -355,6 +355,7 @@
     if (m_entry) {
         m_entry->on_tick(now, m_actions);
     } else {
+        m_agent->set_view_confirmed_at(m_sync.confirmed_at());
         m_agent->on_tick(now, m_actions);
     }
     execute();
--- a/tests/support/relay_fleet.cpp
+++ b/tests/support/relay_fleet.cpp
@@ -206,6 +206,7 @@
         if (value.entry) {
             value.entry->on_tick(m_clock.now(), m_actions);
         } else {
+            value.agent->set_view_confirmed_at(m_clock.now());
             value.agent->on_tick(m_clock.now(), m_actions);
         }
         execute(value);
