Remember former services of routes by number instead of age

Cause: a process remembered a former service for a flow's lifetime plus 5 s from its own change on and took its history for complete. How late a machine without news opens flows has no such bound; searches then left the hosts of the former service out.

Fix: lost services are forgotten by number only (4,096 pairs of route and service, as before). A started process takes a history that did not fit a datagram over with a whole view only, since the latest losses alone would seem to be all; before, this mattered only for losses of the last 65 s.

Not covered (read, not run): all processes but a late one are killed at once; see docs/design/flow-search.md.

--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -71,8 +71,8 @@
     relay::route value;
     std::vector<choice> services;
     std::uint64_t total_weight = 0;
-    /// Services that the route has lost in the lifetime of a flow, as far as they are known; flows opened before may
-    /// still be open there.
+    /// Services that the route has lost, as far as they are known; flows that were opened before, or by a process
+    /// without news, may be open there.
     std::vector<service_index> former_services;
 
     /// @brief Whether the route sends new flows to a service.
@@ -143,8 +143,8 @@
         m_regained_at = m_regained_at ? std::max(*m_regained_at, at) : at;
     }
 
-    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago, and former
-    /// services. Complexity: linear in these.
+    /// @brief Removes hosts whose grace period is over, and forgets those that were removed long ago. Complexity:
+    /// linear in these.
     /// @return the number of hosts removed
     std::size_t expire(core::time_point now);
 
--- a/include/daisydoor/relay/route_history.hpp
+++ b/include/daisydoor/relay/route_history.hpp
@@ -11,14 +11,18 @@
 
 /// Maximum age of a flow, unless the settings name another.
 constexpr core::milliseconds default_flow_ttl{60'000};
-/// Time after a change of the routes in which some process may still open flows by the version before.
+/// Time that the views of processes in touch differ. A process that knows nothing from before counts flows as known
+/// that were opened later.
 constexpr core::milliseconds late_view_time{5000};
 /// Largest age that a message can carry; also stands for always.
 constexpr core::milliseconds max_past{0xffffffff};
 /// Maximum number of pairs of a route and a former service that are remembered.
 constexpr std::size_t max_former_services = 4096;
 
-/// @brief Remembers which services each route has lost in the lifetime of a flow, and since when it knows them all.
+/// @brief Remembers which services each route has lost, and since when it knows them all.
+///
+/// Load pattern: a process without news opens flows at a service that its route lost long ago. How long ago is not
+/// bounded, so that lost services are forgotten by number, not by age.
 ///
 /// Load pattern: processes start while flows of a route's former service are open, one after the other or all at once.
 /// What a process did not see itself it takes over from a peer whose knowledge reaches back further.
@@ -49,18 +53,15 @@
     void add(key value, core::time_point now);
 
     /// @brief Takes over what a peer knows. Has no effect if versions are missing between the peer's knowledge and this
-    /// one.
+    /// one, or if the peer knows more than it tells and this process does not know all itself.
     /// @return whether former services were added
     bool merge(const routes_past& value, core::time_point now);
 
-    /// @brief Forgets services that were lost longer ago than a flow lives.
-    /// @return whether there were any
-    bool expire(core::time_point now);
-
     /// @brief Time for which no loss is missing; 0 before the first version.
     [[nodiscard]] core::milliseconds complete_for(core::time_point now) const;
 
-    /// @brief Whether every former service is known at which a flow may still be open.
+    /// @brief Whether every former service is known at which processes in touch may have opened a flow that is still
+    /// open.
     [[nodiscard]] bool is_complete(core::time_point now) const { return complete_for(now) >= m_memory; }
 
     /// @brief Whether a peer lacks what it can take over from here.
--- a/src/relay/fleet_view_hosts.cpp
+++ b/src/relay/fleet_view_hosts.cpp
@@ -118,9 +118,6 @@
 
 std::size_t fleet_view::expire(core::time_point now)
 {
-    if (m_history.expire(now)) {
-        refresh_former_services();
-    }
     for (auto it = m_removed_hosts.begin(); it != m_removed_hosts.end();) {
         const bool is_over = now - it->second.removed_at > removed_host_retention;
         it = is_over ? m_removed_hosts.erase(it) : std::next(it);
--- a/tests/unit/unit-relay-search.cpp
+++ b/tests/unit/unit-relay-search.cpp
@@ -215,6 +215,24 @@
     EXPECT_EQ(emitted<send_to_agent>()[0].agent, agent_address(9));
 }
 
+// Guards against a reset of a flow that a process without news opened at a former service long after the change.
+TEST_F(agent_search_test, flow_opened_late_at_former_service_is_found)
+{
+    add_host(m_view, make_host(9, "former"));
+    set_routes(m_view, {make_route({{"former", 1}})});
+    advance(default_flow_ttl + late_view_time);
+    set_routes(m_view, {make_route({{"svc", 1}})});
+    advance(default_flow_ttl + late_view_time + core::milliseconds(1000));
+    m_view.expire(m_now);
+    search_without_owner();
+    confirm_view();
+    EXPECT_TRUE(emitted<reset_client>().empty()) << "the host of the former service has not answered";
+    on_message(agent_address(9), flow_found{make_flow(), {}});
+    on_packet(make_packet(make_flow()));
+    ASSERT_EQ(emitted<send_to_agent>().size(), 1U);
+    EXPECT_EQ(emitted<send_to_agent>()[0].agent, agent_address(9));
+}
+
 // Guards against messages to the whole fleet for each flow that is searched.
 TEST_F(agent_search_test, search_with_known_history_asks_present_and_former_services)
 {
--- a/tests/unit/unit-relay-sync.cpp
+++ b/tests/unit/unit-relay-sync.cpp
@@ -492,6 +492,26 @@
     EXPECT_EQ(m_fetches, 1);
 }
 
+// Guards against former services that a started process takes for unknown to all, since the latest ones of a datagram
+// reach back further than the lifetime of a flow.
+TEST_F(view_sync_test, many_old_former_services_are_fetched)
+{
+    std::vector<route> routes;
+    for (std::uint16_t i = 0; i < 100; ++i) {
+        routes.push_back(make_route({{"svc", 1}}, static_cast<std::uint16_t>(service_port + i)));
+    }
+    set_routes(m_platform, routes);
+    run(default_flow_ttl + late_view_time + core::milliseconds(100));
+    for (auto& it : routes) {
+        it.services = {{"new", 1}};
+    }
+    set_routes(m_platform, routes);
+    run(default_flow_ttl + late_view_time + core::milliseconds(1000));
+    restart(entry_address);
+    EXPECT_TRUE(knows_former(entry_address, "svc"));
+    EXPECT_EQ(at(entry_address).view.history().former().size(), routes.size());
+}
+
 // Guards against bytes for processes that need them no more, or that run an earlier build.
 TEST_F(view_sync_test, only_short_history_is_extended)
 {
