Compare ports at the address of the own host only

The entry with the own host's port was preferred at every address, so that a process whose host has another port than those of other machines could prefer another program's entry there. An entry whose port an earlier build did not tell counted as one with another port; with a second entry at its address the own host was not found.

Tests: foreign_entry_test.own_host_is_known_by_its_port (extended) and own_host_without_port_is_found.

--- a/include/daisydoor/relay/fleet_view.hpp
+++ b/include/daisydoor/relay/fleet_view.hpp
@@ -53,7 +53,7 @@
 struct own_host
 {
     ipv4 address{};
-    /// Port at which the host receives packets; 0 if it is not known.
+    /// Port at which the host receives packets.
     std::uint16_t port = 0;
     std::string service;
 };
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -344,7 +344,7 @@
             it->second.former_services.push_back(intern(lost.service));
         }
     }
-    // Which services are named has changed with the routes.
+    // Which services are configured has changed with the routes.
     index_hosts();
 }
 
--- a/src/relay/fleet_view_hosts.cpp
+++ b/src/relay/fleet_view_hosts.cpp
@@ -198,9 +198,12 @@
 
 bool fleet_view::is_preferred(const known_host& a, const known_host& b) const noexcept
 {
-    const auto is_at_own_port = [this](const host& it) { return m_own_host && it.port == m_own_host->port; };
-    return std::make_tuple(is_at_own_port(a.value), a.service_configured, a.value.born) >
-           std::make_tuple(is_at_own_port(b.value), b.service_configured, b.value.born);
+    // The port is not known if a process of an earlier build told the entry.
+    const auto may_be_own = [this](const host& it) {
+        return m_own_host && it.address == m_own_host->address && (it.port == m_own_host->port || it.port == 0);
+    };
+    return std::make_tuple(may_be_own(a.value), a.service_configured, a.value.born) >
+           std::make_tuple(may_be_own(b.value), b.service_configured, b.value.born);
 }
 
 void fleet_view::index_hosts()
--- a/tests/unit/unit-relay-view.cpp
+++ b/tests/unit/unit-relay-view.cpp
@@ -167,11 +167,21 @@
     own.port = host_port;
     add_host(m_view, own);
     add_host(m_view, make_entry_beside("svc", foreign_port));
-    EXPECT_EQ(m_view.find_host(agent_address(1))->value.id, "i-9") << "others do not know the port";
+    m_view.set_own_host({agent_address(2), host_port, "svc"});
+    EXPECT_EQ(m_view.find_host(agent_address(1))->value.id, "i-9") << "the port is that of another machine's host";
     m_view.set_own_host({agent_address(1), host_port, "svc"});
     EXPECT_EQ(m_view.find_host(agent_address(1))->value.id, "i-1");
 }
 
+// Guards against a host that gets no flows since a process of an earlier build told its entry without the port.
+TEST_F(foreign_entry_test, own_host_without_port_is_found)
+{
+    m_view.set_own_host({agent_address(1), host_port, "svc"});
+    ASSERT_EQ(make_host(1).port, 0);
+    add_host(m_view, make_entry_beside("svc", foreign_port));
+    EXPECT_EQ(m_view.find_host(agent_address(1))->value.id, "i-1");
+}
+
 // Guards against hosts of a service that the configuration drops while flows are open there.
 TEST_F(foreign_entry_test, former_service_of_route_stays_named)
 {
