Test the entry and the likely owner against foreign entries

Seen while writing: the rendezvous keys of the hosts "i-1", born 1001, and "i-9", born 1009, are equal, since the hash of a short id takes the birth as its seed. Ids of the platform are longer and births random; not followed further.

--- a/tests/unit/unit-relay-entry.cpp
+++ b/tests/unit/unit-relay-entry.cpp
@@ -184,6 +184,24 @@
     EXPECT_EQ(emitted<reset_client>().size(), 1U);
 }
 
+// Guards against packets that no agent searches for since another program's entry has the address of a host that left.
+TEST_F(entry_relay_test, packet_of_host_that_left_reaches_another_agent_despite_foreign_entry)
+{
+    advance(default_flow_ttl + late_view_time);
+    set_routes(m_view, {make_route({{"svc", 1}})}, {"svc"});
+    const auto agent = place(make_flow());
+    confirm(agent, make_flow());
+    const auto left = m_view.find_host(agent)->value.id;
+    auto foreign = make_host(9, "product");
+    foreign.address = agent;
+    add_host(m_view, foreign);
+    remove_host(m_view, left);
+    on_packet(make_packet(make_flow()));
+    const auto sent = emitted<send_to_agent>();
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_NE(sent[1].agent, agent);
+}
+
 // Guards against flows that stay open after their route was dropped, and against resets of flows whose route is not
 // known yet.
 TEST_F(entry_relay_test, packet_without_route_is_reset_only_if_route_was_dropped)
--- a/tests/unit/unit-relay-foreign-entry.cpp
+++ b/tests/unit/unit-relay-foreign-entry.cpp
@@ -1,5 +1,6 @@
 #include "daisydoor/relay/codec.hpp"
 #include "daisydoor/relay/fleet_view.hpp"
+#include "daisydoor/relay/placement.hpp"
 
 #include "relay_fixture.hpp"
 
@@ -98,6 +99,22 @@
     EXPECT_EQ(m_view.unconfigured_host_count(), 0U);
 }
 
+// Guards against packets of unknown flows that go to an address without an agent.
+TEST_F(foreign_entry_test, entry_of_unconfigured_service_is_no_likely_owner)
+{
+    constexpr std::uint16_t new_port = 444;
+    set_routes(m_view, {make_route({{"svc", 1}}), make_route({{"empty", 1}}, new_port)}, {"empty", "other", "svc"});
+    auto foreign = make_host(9, "product");
+    foreign.born = 5000;
+    add_host(m_view, foreign);
+    const auto never = [](ipv4) { return false; };
+    const auto* route = m_view.find_route(service_address, new_port);
+    for (std::uint16_t client_port = 40'000; client_port < 40'050; ++client_port) {
+        const auto flow_hash = hash_of(make_flow(client_port));
+        EXPECT_EQ(choose_likely_owner(m_view, *route, flow_hash, never)->value.id, "i-1");
+    }
+}
+
 // Guards against services that are lost or invented on the way to another process.
 TEST_F(foreign_entry_test, differences_carry_services)
 {
