--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -97,6 +97,7 @@
         self.history = []
         self.waiters = []
         self.turned_away = set()
+        self.down = False  # answers every call, also those of hosts, with 503 and does nothing
         self.calls = {}
         self.watching = {}
         self.refused = {}
@@ -124,6 +125,13 @@
             del self.items[key]
             self.append({"Key": key, "Revision": self.revision, "Tombstone": True})
 
+    def expire(self, key):
+        """Removes the entry of a silent host, once the store is up."""
+        if self.down:
+            asyncio.get_running_loop().call_later(0.2, self.expire, key)
+        else:
+            self.remove(key)
+
     def append(self, event):
         now = time.monotonic()
         self.history.append((now, event["Revision"], json.dumps(event), event["Key"]))
@@ -154,7 +162,7 @@
 
     async def answer(self, machine, path):
         self.calls[machine] = self.calls.get(machine, 0) + 1
-        if machine in self.turned_away:
+        if self.down or machine in self.turned_away:
             self.refused[machine] = self.refused.get(machine, 0) + 1
             return 503, b"{}"
         url = urllib.parse.urlparse(path)
@@ -212,6 +220,10 @@
         self.born = int(time.time() * 1000)
         self.runs = 0
         self.opened = 0
+        self.work_s = 0.02
+        self.cold_start_s = 0.0
+        self.cold_until = 0.0
+        self.taken = []  # of each opened flow: client address and port, arrival of its opening packet
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -219,11 +231,33 @@
                                                           local_addr=(self.ip, self.world.app_port))
         self.beat = asyncio.ensure_future(self.heartbeat())
 
+    def crash(self):
+        """Ends at once; the store removes the entry after three heartbeats of silence."""
+        self.beat.cancel()
+        self.udp.transport.abort()
+        asyncio.get_running_loop().call_later(3 * self.world.heartbeat_s, self.world.store.expire,
+                                              f"servers/{self.id}")
+
+    async def restart(self):
+        """A new incarnation: it holds and knows nothing of before, and is cold."""
+        self.id = f"h-{random.getrandbits(40):010x}"
+        self.flows = {}
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.cold_until = time.monotonic() + self.cold_start_s
+        await self.start()
+
+    def cold_remaining_ms(self):
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     def publish(self):
+        if self.world.store.down:
+            return
         self.sequence += 1
         self.world.store.put(f"servers/{self.id}", json.dumps(
             {"Service": self.service, "Address": f"{self.ip}:{self.world.app_port}", "Zone": self.zone,
-             "Version": "v1", "Concurrency": 5, "State": self.state, "ColdRemainingMs": 0,
+             "Version": "v1", "Concurrency": 5, "State": self.state,
+             "ColdRemainingMs": self.cold_remaining_ms(),
              "Sequence": self.sequence, "born": self.born}))
 
     async def heartbeat(self):
@@ -232,7 +266,8 @@
             await asyncio.sleep(self.world.heartbeat_s)
 
     def send(self, raw):
-        self.udp.transport.sendto(raw, (self.ip, self.world.outbound_port))
+        if not self.udp.transport.is_closing():
+            self.udp.transport.sendto(raw, (self.ip, self.world.outbound_port))
 
     def reply(self, p, flags, seq, ack, data=b""):
         self.send(encode(seq, ack, flags, p.dst, p.dport, p.src, p.sport, data))
@@ -253,7 +288,7 @@
         if p.flags & SYN:
             if flow is None:
                 flow = self.flows[key] = {"seq": random.getrandbits(32), "client": (p.seq + 1) & MASK, "open": False,
-                                          "ended": False, "answer": None}
+                                          "ended": False, "answer": None, "arrived": time.monotonic()}
             self.reply(p, SYN | ACK, flow["seq"], flow["client"])
             return
         if flow is None or (p.ack - flow["seq"] - 1) & MASK > 200_000:
@@ -262,6 +297,7 @@
         if not flow["open"]:
             flow["open"] = True
             self.opened += 1
+            self.taken.append((p.src, p.sport, flow["arrived"]))
         if p.flags & RST:
             del self.flows[key]
             return
@@ -271,8 +307,9 @@
         if p.data and p.seq == flow["client"]:
             flow["client"] = (p.seq + len(p.data)) & MASK
             self.runs += 1
-            self.world.record(f"host {self.name} ({self.service}) runs {p.data.decode()}")
-            asyncio.get_running_loop().call_later(0.02, self.finish, key, p)
+            if self.world.records_runs:
+                self.world.record(f"host {self.name} ({self.service}) runs {p.data.decode()}")
+            asyncio.get_running_loop().call_later(self.work_s, self.finish, key, p)
         elif p.data:
             self.reply(p, ACK, (flow["seq"] + 1 + (len(flow["answer"]) if flow["answer"] else 0)) & MASK,
                        flow["client"])
@@ -297,6 +334,7 @@
         self.world, self.ip = world, ip
         self.next_port = random.randint(20_000, 30_000)
         self.attempts = {}
+        self.sent_at = {}  # first copy of the opening packet, by port
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -315,7 +353,7 @@
         queue = self.attempts[port] = asyncio.Queue()
         src, (dst, dport) = ip_number(self.ip), route
         seq = random.getrandbits(32)
-        sent_at = time.monotonic()
+        sent_at = self.sent_at[port] = time.monotonic()
 
         def send(flags, s, a, data=b""):
             self.udp.transport.sendto(encode(s, a, flags, src, port, dst, dport, data),
@@ -381,6 +419,8 @@
         self.forged = 0
         self.store = Store(self.record, f"{self.net}.250.1")
         self.first_start = True
+        self.records_runs = True
+        self.agent_settings = ""  # further lines of the agents' template
 
     def free_ports(self):
         while True:
@@ -416,7 +456,7 @@
                 f'first_start: {json.dumps(self.first_start)}\nflow_ttl_s: 60\ngrace_s: 6\n')
         if machine.role == "agent":
             text += (f'agent:\n  service: "{machine.service}"\n  host: "{machine.ip}:{self.app_port}"\n'
-                     f'  outbound: "{machine.ip}:{self.outbound_port}"\n')
+                     f'  outbound: "{machine.ip}:{self.outbound_port}"\n{self.agent_settings}')
         return text
 
     def start_process(self, machine):
